Take the proof of the configuration from other VMs where the platform doesn't answer

Cause: a VM read the configuration from the platform alone.

Ruled out: that these VMs were cut off from the other VMs too (gossip went on), and that the requests weren't owed.

Change: it asks two other VMs what is in force and how old their proof is. The age counts from the moment of asking.

What is left of these refusals is a data centre without any way to the platform.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -25,16 +24,16 @@
 
 // configReader keeps the configuration in force and knows how old the proof is
 // that it is the newest. A watch proves nothing: it may have gone deaf. Only an
-// answer to a question asked at a moment tells what was in force then.
+// answer to a question asked at a moment tells what was in force then: the
+// platform's, or that of a VM which the platform answered.
 type configReader struct {
 	parts      Parts
 	log        logr.Logger
 	dispatcher *relay.Dispatcher
-	// provenAt is when the read was sent that last found the configuration in
-	// force to be the newest, by bootclock. 0 before the first.
-	provenAt atomic.Int64
-	version  uint64
-	lost     bool
+	keeper     proofKeeper
+	// peers are the VMs that are asked when the platform doesn't answer; nil for none.
+	peers *configPeers
+	lost  bool
 }
 
 func newConfigReader(p Parts, d *relay.Dispatcher) *configReader {
@@ -43,7 +42,7 @@
 
 // proven tells whether keys may be trusted.
 func (c *configReader) proven() bool {
-	at := time.Duration(c.provenAt.Load())
+	at := c.keeper.get().provenAt
 	return at > 0 && bootclock.Now()-at < c.parts.current.get().KeyTrust-trustMargin
 }
 
@@ -53,6 +52,8 @@
 		object, err := c.parts.Store.Get(ctx, c.parts.Config.Kind, c.parts.Config.Name)
 		if err == nil {
 			c.take(object, sent)
+		} else if c.peers != nil {
+			c.peers.ask(ctx, c.keeper.get().object.Version, c.take)
 		}
 		c.tell(err)
 		wait := readEvery
@@ -67,9 +68,10 @@
 	}
 }
 
-// take brings an object in force. One that can't be read proves nothing.
-func (c *configReader) take(object objects.Object, sent time.Duration) {
-	if object.Version != c.version {
+// take brings an object in force that was the newest at a moment. One that can't
+// be read proves nothing.
+func (c *configReader) take(object objects.Object, at time.Duration) {
+	if object.Version > c.keeper.get().object.Version {
 		table, err := c.parts.Decode.Routes(object.Value)
 		if err != nil {
 			telemetry.RelayConfigBad.Fail(c.log, err, "revision", object.Version)
@@ -78,16 +80,15 @@
 		if c.dispatcher.SetTable(table) {
 			telemetry.RelayConfigInForce.Log(c.log, "version", table.Version, "revision", object.Version)
 		}
-		c.version = object.Version
 	}
-	c.provenAt.Store(int64(sent))
+	c.keeper.prove(object, at)
 }
 
 // tell logs when the proof is lost and when it is back.
 func (c *configReader) tell(err error) {
 	proven := c.proven()
 	switch {
-	case !proven && !c.lost && c.provenAt.Load() > 0:
+	case !proven && !c.lost && c.keeper.get().provenAt > 0:
 		c.lost = true
 		telemetry.RelayProofLost.Log(c.log, "cause", telemetry.Cause(err))
 	case proven && c.lost:
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -79,7 +79,7 @@
 	actors.AddContext(&group, newServerList(p, dispatcher).run)
 	live := func() []string { return []string{s.VM} }
 	if s.Peers != "" {
-		talk, err := addPeers(&group, p, dispatcher, handler)
+		talk, err := addPeers(&group, p, dispatcher, handler, config)
 		if err != nil {
 			return err
 		}
--- a/internal/edge/fresh_test.go
+++ b/internal/edge/fresh_test.go
@@ -38,6 +38,31 @@
 	r.Eventually(func() int { return r.status("/plain/a", "r3") }, "3s").Should(Equal(http.StatusOK))
 }
 
+// Symptom: every request with a key is refused as configuration_unproven on a VM
+// that callers reach. Sequence: the platform turns this VM away for longer than a
+// key is trusted; the other VMs go on reading. Cause: nobody else is asked.
+func TestAVMWithoutThePlatformTrustsOthersThatHaveIt(t *testing.T) {
+	store := newMemory()
+	store.set("config", "main", table(1))
+	first := newVM(t, "vm-1", store, "")
+	first.Eventually(first.ready, "5s").Should(Equal(http.StatusOK))
+	second := newVM(t, "vm-2", store, first.settings.Peers)
+	second.way.cut.Store(true)
+	second.Eventually(second.ready, "5s").Should(Equal(http.StatusOK), "it learns its first configuration from the other VM")
+	second.server("s1", ok)
+	second.Eventually(func() int { return second.status("/plain/a", "r1") }, "5s").Should(Equal(http.StatusOK))
+	second.Consistently(func() int { return second.status("/plain/a", "r2") }, 2*second.settings.KeyTrust, "100ms").Should(Equal(http.StatusOK))
+
+	newer := table(2)
+	newer.Keys = map[string]routes.Account{"other": {Name: "other"}}
+	store.set("config", "main", newer)
+	second.Eventually(func() int { return second.status("/plain/a", "r3") }, "4s").Should(Equal(http.StatusUnauthorized))
+
+	// Nobody has the platform now: what the others know grows old for all.
+	first.way.cut.Store(true)
+	second.Eventually(second.ready, 3*second.settings.KeyTrust).Should(Equal(http.StatusServiceUnavailable))
+}
+
 func TestANewConfigurationIsInForceSoonAndForGood(t *testing.T) {
 	r := newRig(t, table(5))
 	r.server("s1", ok)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -16,6 +17,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/fleet"
 	"oleandershunt.example/oleandershunt/internal/peer"
+	"oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1/configv1connect"
 	"oleandershunt.example/oleandershunt/internal/peer/gossip"
 	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
@@ -42,6 +44,7 @@
 // room for its own share, and together they throw requests out of memory.
 type peers struct {
 	log        logr.Logger
+	self       string
 	dispatcher *relay.Dispatcher
 	gossip     *gossip.Gossip
 	handler    *relay.Handler
@@ -69,21 +72,22 @@
 }
 
 // addPeers adds the server for other VMs and the talk with them.
-func addPeers(group *run.Group, p Parts, d *relay.Dispatcher, handler *relay.Handler) (*peers, error) {
+func addPeers(group *run.Group, p Parts, d *relay.Dispatcher, handler *relay.Handler, config *configReader) (*peers, error) {
 	s := p.Settings
 	// A later process of the VM has a higher incarnation. Should the time of day
 	// have been set back, the gossip finds out and raises it.
 	incarnation := uint64(time.Now().UnixMicro())
 	identity := peer.Identity{Name: s.VM, Deployment: deployment}
 	directory := peer.NewDirectory()
-	talk := &peers{log: p.Log, dispatcher: d, found: make(map[string]int), leaving: make(map[backends.Departure]int)}
+	dialer := peer.NewDialer(directory, identity, nil)
+	talk := &peers{log: p.Log, self: s.VM, dispatcher: d, found: make(map[string]int), leaving: make(map[backends.Departure]int)}
 	talk.gossip = gossip.New(gossip.Options{
 		Self: peer.Member{
 			Name: s.VM, DataCentre: s.DataCentre, Deployment: deployment, Address: s.Peers,
 			Incarnation: fmt.Sprintf("%016x", incarnation),
 		},
 		Incarnation: incarnation, Directory: directory,
-		Dialer:   peer.NewDialer(directory, identity, nil),
+		Dialer:   dialer,
 		Interval: talkEvery,
 		Contacts: func() []string { return s.Seeds },
 		Now:      bootclock.Now,
@@ -95,6 +99,8 @@
 		telemetry.PeerRefused.Fail(p.Log, err, "from", from, "address", address)
 	})
 	server.Handle(talk.gossip.Handler())
+	server.Handle(configv1connect.NewConfigServiceHandler(&configService{keeper: &config.keeper}))
+	config.peers = &configPeers{dialer: dialer, others: talk.others}
 	talk.gossip.OnVM(talk.judged)
 	talk.gossip.OnEntry(keyWord, talk.heard)
 	if err := listen(group, server.HTTPServer(), s.Peers); err != nil {
@@ -111,6 +117,15 @@
 // near lists the VMs of this data centre that live, this one included.
 func (t *peers) near(dataCentre string) []string { return t.gossip.LiveVMs()[dataCentre] }
 
+// others lists the other VMs that live or may live, of all data centres.
+func (t *peers) others() []string {
+	var others []string
+	for _, names := range t.gossip.LiveVMs() {
+		others = append(others, names...)
+	}
+	return slices.DeleteFunc(others, func(name string) bool { return name == t.self })
+}
+
 // run tells what this VM does.
 func (t *peers) run(ctx context.Context) error {
 	ticker := time.NewTicker(tellEvery)
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -210,6 +211,7 @@
 	*WithT
 	t        *testing.T
 	store    *memory
+	way      *way
 	settings edge.Settings
 	stop     context.CancelFunc
 	ended    chan error
@@ -226,25 +228,48 @@
 
 // newRig starts a VM whose store has a configuration with one key.
 func newRig(t *testing.T, table tableValue) *rig {
-	r := &rig{WithT: NewWithT(t), t: t, store: newMemory(), ended: make(chan error, 1)}
-	r.store.set("config", "main", table)
+	store := newMemory()
+	store.set("config", "main", table)
+	r := newVM(t, "vm-1", store, "")
+	r.Eventually(r.ready, "5s").Should(Equal(http.StatusOK))
+	return r
+}
+
+// way is one VM's way to a store that others reach too.
+type way struct {
+	*memory
+	cut atomic.Bool
+}
+
+func (w *way) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	if w.cut.Load() {
+		return objects.Object{}, objects.ErrUnavailable
+	}
+	return w.memory.Get(ctx, kind, name)
+}
+
+// newVM starts a VM. seed is another VM's address for VMs; empty for a VM alone.
+func newVM(t *testing.T, name string, store *memory, seed string) *rig {
+	r := &rig{WithT: NewWithT(t), t: t, store: store, way: &way{memory: store}, ended: make(chan error, 1)}
 	r.settings = edge.Settings{
-		VM: "vm-1", DataCentre: "a", Host: "127.0.0.1", Callers: free(t), Ready: free(t), Store: "memory",
+		VM: name, DataCentre: "a", Peers: free(t), Host: "127.0.0.1", Callers: free(t), Ready: free(t), Store: "memory",
 		KeyTrust: 2 * time.Second, Grace: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 200, RepeatWindow: 10 * time.Second,
 	}
+	if seed != "" {
+		r.settings.Seeds = []string{seed}
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	r.stop = stop
 	go func() {
 		r.ended <- edge.Run(ctx, edge.Parts{
 			Log: logr.Discard(), Settings: r.settings,
 			ReadAgain: func() (edge.Settings, error) { return r.settings, nil },
-			Store:     objects.NewClientOn(r.store, edge.StoreOptions()...),
+			Store:     objects.NewClientOn(r.way, edge.StoreOptions()...),
 			Config:    edge.Source{Kind: "config", Name: "main"}, Servers: edge.Source{Kind: "servers"},
 			Decode: decoder{}, Requests: platform.Requests{}, Engines: noEngines{}, HealthPath: "/ready",
 		})
 	}()
 	t.Cleanup(stop)
-	r.Eventually(r.ready, "5s").Should(Equal(http.StatusOK))
 	return r
 }
 
