Keep roles in one package; a VM's next process takes its role at once

Change: internal/role serves both, its times are parameters. A VM that stops releases the role and says that it leaves, so that the next one looks.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -84,6 +84,7 @@
 			return err
 		}
 		live = func() []string { return talk.near(s.DataCentre) }
+		stop.leave = talk.gossip.Leave
 	}
 	actors.AddContext(&group, newPlacer(p, dispatcher, live, stop.stopping).run)
 	if err := addServers(&group, p, handler, config, stop); err != nil {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -47,6 +47,7 @@
 	self       string
 	dispatcher *relay.Dispatcher
 	gossip     *gossip.Gossip
+	directory  *peer.Directory
 	handler    *relay.Handler
 	// telling is held while a word is made. count counts the words.
 	telling sync.Mutex
@@ -80,7 +81,7 @@
 	identity := peer.Identity{Name: s.VM, Deployment: deployment}
 	directory := peer.NewDirectory()
 	dialer := peer.NewDialer(directory, identity, nil)
-	talk := &peers{log: p.Log, self: s.VM, dispatcher: d, found: make(map[string]int), leaving: make(map[backends.Departure]int)}
+	talk := &peers{log: p.Log, self: s.VM, dispatcher: d, directory: directory, found: make(map[string]int), leaving: make(map[backends.Departure]int)}
 	talk.gossip = gossip.New(gossip.Options{
 		Self: peer.Member{
 			Name: s.VM, DataCentre: s.DataCentre, Deployment: deployment, Address: s.Peers,
@@ -114,8 +115,14 @@
 	return talk, nil
 }
 
-// near lists the VMs of this data centre that live, this one included.
-func (t *peers) near(dataCentre string) []string { return t.gossip.LiveVMs()[dataCentre] }
+// near lists the VMs of this data centre that live and don't stop, this one
+// included.
+func (t *peers) near(dataCentre string) []string {
+	return slices.DeleteFunc(t.gossip.LiveVMs()[dataCentre], func(name string) bool {
+		member, known := t.directory.Member(name)
+		return known && member.Leaving
+	})
+}
 
 // others lists the other VMs that live or may live, of all data centres.
 func (t *peers) others() []string {
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -5,17 +5,36 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/spread"
 	"oleandershunt.example/oleandershunt/internal/relay"
+	"oleandershunt.example/oleandershunt/internal/role"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
+// kindRole is the store's kind of the roles that one VM holds at a time.
+const kindRole = "oleandershunt-roles"
+
+// roleTimes are the times of the role that orders layers. A VM that stops gives it
+// up, so the lease is waited out only after a VM was lost.
+var roleTimes = role.Times{
+	Lease:    3 * time.Second,
+	Interval: 1500 * time.Millisecond,
+	Seldom:   7 * time.Second,
+	Retry:    500 * time.Millisecond,
+}
+
+// roleCandidates is the number of VMs of a data centre that look often whether the
+// role is free.
+const roleCandidates = 1
+
 // The pace of placement.
 const (
 	placeEvery = 200 * time.Millisecond
@@ -40,9 +59,11 @@
 	parts      Parts
 	log        logr.Logger
 	dispatcher *relay.Dispatcher
-	role       *role
+	role       *role.Role
 	holding    bool
 	stopping   func() bool
+	// live lists the VMs of the data centre that may hold the role, this one included.
+	live func() []string
 	// pending are the orders that don't show in the entries yet.
 	pending map[string]pendingOrder
 	// count and changed are the number of servers and since when it is so.
@@ -67,8 +88,12 @@
 
 func newPlacer(p Parts, d *relay.Dispatcher, live func() []string, stopping func() bool) *placer {
 	return &placer{
-		parts: p, log: p.Log, dispatcher: d, stopping: stopping,
-		role:    newRole(p.Store, "layers-"+p.Settings.DataCentre, p.Settings.VM, live),
+		parts: p, log: p.Log, dispatcher: d, stopping: stopping, live: live,
+		role: role.New(role.Options{
+			Store: p.Store, Kind: kindRole, Name: "layers-" + p.Settings.DataCentre,
+			Self:  lease.VM{Name: p.Settings.VM, DataCentre: p.Settings.DataCentre, Incarnation: uuid.NewString()},
+			Times: roleTimes, Candidates: roleCandidates, Now: bootclock.Now,
+		}),
 		pending: make(map[string]pendingOrder),
 		last:    make(map[string][]spread.Server),
 		lost:    make(map[string]lostServer),
@@ -81,10 +106,12 @@
 	for {
 		select {
 		case <-ticker.C:
-			// A VM that stops neither takes the role nor keeps it: the next holder
-			// need not wait for the end of a process that is leaving.
-			if !p.stopping() {
-				p.role.step(ctx)
+			// A VM that stops gives the role up: the next holder need not wait for the
+			// end of a process that is leaving.
+			if p.stopping() {
+				p.role.Release(ctx)
+			} else {
+				p.role.Step(ctx, p.candidates())
 			}
 			p.tell()
 			if p.holding {
@@ -96,13 +123,21 @@
 	}
 }
 
+func (p *placer) candidates() []lease.VM {
+	var vms []lease.VM
+	for _, name := range p.live() {
+		vms = append(vms, lease.VM{Name: name, DataCentre: p.parts.Settings.DataCentre})
+	}
+	return vms
+}
+
 func (p *placer) tell() {
-	held := p.role.held()
+	held := p.role.Held()
 	switch {
 	case held && !p.holding:
-		telemetry.PlacerHeld.Log(p.log, "role", p.role.name)
+		telemetry.PlacerHeld.Log(p.log, "role", p.role.Name)
 	case !held && p.holding:
-		telemetry.PlacerLost.Log(p.log, "role", p.role.name)
+		telemetry.PlacerLost.Log(p.log, "role", p.role.Name)
 	}
 	p.holding = held
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -28,10 +28,12 @@
 	settings func() Settings
 	callers  *http.Server
 	begun    atomic.Bool
+	// leave tells the other VMs of the stop.
+	leave func()
 }
 
 func newStopper(p Parts) *stopper {
-	return &stopper{log: p.Log, settings: p.current.get}
+	return &stopper{log: p.Log, settings: p.current.get, leave: func() {}}
 }
 
 func (s *stopper) stopping() bool { return s.begun.Load() }
@@ -63,6 +65,7 @@
 func (s *stopper) wait(ctx context.Context, handler *relay.Handler) error {
 	<-ctx.Done()
 	s.begun.Store(true)
+	s.leave()
 	telemetry.VMStopping.Log(s.log, "inFlight", handler.InFlight())
 	end := time.Now().Add(s.settings().Grace - stopMargin)
 	time.Sleep(outOfRotation)
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -1,3 +1,6 @@
+// Package placement gives the orders that bring the backend servers of one data
+// centre to what they should hold. One VM of the data centre holds the role by
+// a lease in the platform; internal/core/place decides.
 package placement
 
 import (
@@ -19,6 +22,7 @@
 	"oleandershunt.example/oleandershunt/internal/engine"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	"oleandershunt.example/oleandershunt/internal/platform"
+	"oleandershunt.example/oleandershunt/internal/role"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
@@ -26,6 +30,17 @@
 	planInterval = time.Second
 	// statusInterval bounds the writes of the Status record.
 	statusInterval = 2 * time.Second
+	// kindLease is the platform's kind of object for leases.
+	kindLease = "Lease"
+	// leaseTime is how long the role holds without being renewed.
+	leaseTime = 9 * time.Second
+	// roleInterval is how often it is renewed, or looked at, and roleTick how often
+	// it is asked whether that is due.
+	roleInterval = 2 * time.Second
+	roleTick     = 500 * time.Millisecond
+	// candidates is the number of VMs which look whether the role is free; all
+	// VMs would be too many reads.
+	candidates = 2
 )
 
 // Engines is the part of the engines' client that placement needs.
@@ -40,7 +55,8 @@
 	log       logr.Logger
 	engines   Engines
 	directory *peer.Directory
-	role      *role
+	store     role.Store
+	role      *role.Role
 	options   place.Options
 	now       func() time.Duration
 
@@ -54,7 +70,7 @@
 
 // New makes a service for the data centre of the VM self. now is the VM's
 // monotonic clock.
-func New(log logr.Logger, self peer.Member, store Store, engines Engines, directory *peer.Directory, now func() time.Duration) *Service {
+func New(log logr.Logger, self peer.Member, store role.Store, engines Engines, directory *peer.Directory, now func() time.Duration) *Service {
 	options := place.DefaultOptions(self.DataCentre)
 	return &Service{
 		log:       log,
@@ -64,7 +80,11 @@
 		now:       now,
 		planner:   place.New(options),
 		addresses: make(map[string]string),
-		role:      &role{store: store, name: "placement-" + self.DataCentre, self: vmOf(self), now: now},
+		store:     store,
+		role: role.New(role.Options{
+			Store: store, Kind: kindLease, Name: "placement-" + self.DataCentre, Self: vmOf(self), Candidates: candidates,
+			Times: role.Times{Lease: leaseTime, Interval: roleInterval}, Now: now,
+		}),
 	}
 }
 
@@ -128,10 +148,10 @@
 
 // RunRole keeps the lease until ctx ends.
 func (s *Service) RunRole(ctx context.Context) error {
-	ticker := time.NewTicker(roleInterval)
+	ticker := time.NewTicker(roleTick)
 	defer ticker.Stop()
 	for {
-		s.role.step(ctx, s.vms())
+		s.role.Step(ctx, s.vms())
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -166,14 +186,14 @@
 	if err != nil || string(value) == s.published {
 		return
 	}
-	record.By, record.At = s.role.self.Name, time.Now().UTC().Format(time.RFC3339)
+	record.By, record.At = s.role.Self.Name, time.Now().UTC().Format(time.RFC3339)
 	name := api.StatusPlacementPrefix + status.DataCentre
-	object, err := s.role.store.Get(ctx, string(api.KindStatus), name)
+	object, err := s.store.Get(ctx, string(api.KindStatus), name)
 	switch {
 	case errors.Is(err, platform.ErrNotFound):
-		_, err = s.role.store.Create(ctx, string(api.KindStatus), name, record)
+		_, err = s.store.Create(ctx, string(api.KindStatus), name, record)
 	case err == nil:
-		_, err = s.role.store.Update(ctx, string(api.KindStatus), name, object.Version, record)
+		_, err = s.store.Update(ctx, string(api.KindStatus), name, object.Version, record)
 	}
 	if err == nil {
 		s.published = string(value)
@@ -181,7 +201,7 @@
 }
 
 // Release gives the role up at a planned stop.
-func (s *Service) Release(ctx context.Context) { s.role.release(ctx) }
+func (s *Service) Release(ctx context.Context) { s.role.Release(ctx) }
 
 // Status says how the placement stands as far as this VM knows.
 func (s *Service) Status() place.Status {
@@ -202,10 +222,10 @@
 }
 
 func (s *Service) plan(ctx context.Context) {
-	epoch, since, until, held := s.role.tenure()
+	tenure := s.role.Tenure()
 	s.mu.Lock()
-	if held {
-		s.planner.Hold(epoch, since, until)
+	if tenure.Held {
+		s.planner.Hold(tenure.Epoch, tenure.Since, tenure.Until)
 	} else {
 		s.planner.Lose()
 	}
@@ -258,7 +278,7 @@
 	ctx, cancel := context.WithTimeout(ctx, s.options.LongestOrder)
 	defer cancel()
 	result := place.NotSent
-	if epoch, _, _, held := s.role.tenure(); held && epoch == order.Fence {
+	if tenure := s.role.Tenure(); tenure.Held && tenure.Epoch == order.Fence {
 		result = resultOf(s.engines.Order(ctx, address, engineOrder(order)))
 		telemetry.OrderGiven.Log(s.log, "order", order, "result", result)
 	}
@@ -295,7 +315,3 @@
 		return place.Unknown
 	}
 }
-
-func decode(object platform.Object, into *leaseRecord) error {
-	return json.Unmarshal(object.Value, into)
-}
