Leave servers of use where they are; let spare ones cover and strengthen

Change: Plan keeps servers where they are. Layers that nobody holds go to empty servers and to those that can be spared; other empty ones take the weakest layers; Toward moves the others only when these don't suffice.

--- a/internal/core/spread/bench_test.go
+++ b/internal/core/spread/bench_test.go
@@ -19,16 +19,16 @@
 	return fleet(cards...)
 }
 
-// BenchmarkToward is one look of the VM that orders layers, of 200 ms each, at a
+// BenchmarkPlan is one look of the VM that orders layers, of 200 ms each, at a
 // layout in place from which one server was lost.
-func BenchmarkToward(b *testing.B) {
+func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{33, 86, 770} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			servers := mixed(n)
 			apply(b, model(), servers, spread.Layout(model(), servers))
 			servers = servers[1:]
 			for b.Loop() {
-				spread.Toward(model(), servers)
+				spread.Plan(model(), servers)
 			}
 		})
 	}
--- /dev/null
+++ b/internal/core/spread/plan.go
@@ -0,0 +1,280 @@
+package spread
+
+import (
+	"cmp"
+	"math"
+	"slices"
+
+	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/routes"
+)
+
+// The figures of a plan.
+const (
+	// expendable is the part of a layer's strength up to which a server can be taken
+	// away from it: the others hardly notice.
+	expendable = 0.35
+	// worthMove is how many times stronger the weakest layers that a server may take
+	// must become for it to be moved there. A move costs the time of a load.
+	worthMove = 1.5
+)
+
+// Plan returns the orders that can be given now. Servers stay where they are as
+// long as they are of use there:
+//
+//   - servers that hold nothing yet get a whole layout;
+//   - layers that nobody holds go to empty servers and to those that can be spared,
+//     and only when these don't suffice are the others moved (Toward);
+//   - other empty servers take the layers that are weakest;
+//   - a server that can be spared helps the weakest layers where that gains much.
+//
+// What went wrong before: each server that came or went gave another layout of the
+// whole data centre, and a data centre that worked moved all its servers at once
+// while another was without a layer. One notices many orders within a second and
+// servers that refuse for want of room for ten seconds.
+func Plan(engine *routes.Engine, servers []Server) []Order {
+	if orders, ok := initial(engine, servers); ok {
+		return orders
+	}
+	p := plan{engine: engine, servers: slices.Clone(servers)}
+	p.cover()
+	if slices.Contains(p.counts(), 0) {
+		return Toward(engine, servers)
+	}
+	p.fillEmpty()
+	p.relieve()
+	if len(p.orders) == 0 && !slices.ContainsFunc(servers, func(s Server) bool { return s.Loading }) {
+		p.improve()
+	}
+	return p.orders
+}
+
+// initial is the whole layout while no server holds anything but its part of it.
+func initial(engine *routes.Engine, servers []Server) ([]Order, bool) {
+	orders := match(servers, Layout(engine, servers))
+	ranges := make(map[string]api.Layers, len(orders))
+	for _, order := range orders {
+		ranges[order.Server] = order.Layers
+	}
+	for _, s := range servers {
+		if s.planned().Len() > 0 && s.planned() != ranges[s.ID] {
+			return nil, false
+		}
+	}
+	return slices.DeleteFunc(orders, func(o Order) bool {
+		at := slices.IndexFunc(servers, func(s Server) bool { return s.ID == o.Server })
+		return servers[at].Lost || servers[at].planned().Len() > 0
+	}), true
+}
+
+// plan is one look at the servers of a data centre. Orders given count at once.
+type plan struct {
+	engine  *routes.Engine
+	servers []Server
+	orders  []Order
+}
+
+// counts are the servers that hold or will hold each layer. A lost one doesn't.
+func (p *plan) counts() []int {
+	counts := make([]int, p.engine.Layers)
+	for _, s := range p.servers {
+		if s.Lost {
+			continue
+		}
+		for layer := max(s.planned().From, 0); layer < min(s.planned().To, len(counts)); layer++ {
+			counts[layer]++
+		}
+	}
+	return counts
+}
+
+// strength is how much a server adds to each layer of a range: the tokens of
+// requests that it has room for, by how slowly it works them off.
+func (p *plan) strength(s Server, held api.Layers) float64 {
+	if held.Len() == 0 {
+		return 0
+	}
+	return p.engine.Room(s.Card, held.Len()) / float64(held.Len()) / max(s.Card.Pace, 0.1)
+}
+
+// strengths are the strengths of the layers. The place of a lost server is kept for
+// it.
+func (p *plan) strengths() []float64 {
+	sums := make([]float64, p.engine.Layers)
+	for _, s := range p.servers {
+		held := s.planned()
+		each := p.strength(s, held)
+		for layer := max(held.From, 0); layer < min(held.To, len(sums)); layer++ {
+			sums[layer] += each
+		}
+	}
+	return sums
+}
+
+// give orders a range. The server counts as loading it.
+func (p *plan) give(at int, layers api.Layers) {
+	p.orders = append(p.orders, Order{Server: p.servers[at].ID, Layers: layers})
+	p.servers[at].Ordered, p.servers[at].Loading = layers, true
+}
+
+// cover gives the layers that nobody holds to servers that can be had.
+func (p *plan) cover() {
+	for range p.servers {
+		counts := p.counts()
+		from := slices.Index(counts, 0)
+		if from < 0 {
+			return
+		}
+		gap := api.Layers{From: from, To: from}
+		for gap.To < len(counts) && counts[gap.To] == 0 {
+			gap.To++
+		}
+		at := p.spare(gap)
+		if at < 0 {
+			return
+		}
+		gap.To = min(gap.To, gap.From+p.comfortable(p.servers[at].Card))
+		p.give(at, p.widen(at, gap))
+	}
+}
+
+// comfortable is how many layers a card holds with room for requests.
+func (p *plan) comfortable(card routes.Card) int {
+	return max(int(spare*float64(p.engine.Fits(card))), 1)
+}
+
+// spare finds the server that is best had for a gap: an empty one, the fastest of
+// them, else the one that is missed least where it is. -1 when there is none.
+func (p *plan) spare(gap api.Layers) int {
+	best, least := -1, math.Inf(1)
+	strengths := p.strengths()
+	for i, s := range p.servers {
+		missed, ok := p.missed(s, strengths)
+		if !ok || p.engine.Fits(s.Card) == 0 {
+			continue
+		}
+		if s.planned().Len() == 0 {
+			// All empty servers go before all others: the more of the gap and the faster,
+			// the better.
+			missed = -float64(min(gap.Len(), p.comfortable(s.Card))) / max(s.Card.Pace, 0.1)
+		}
+		if missed < least {
+			best, least = i, missed
+		}
+	}
+	return best
+}
+
+// missed is the greatest part that a server has in the strength of a layer. False
+// when it can't be had: it moves already, is lost, or holds a last copy.
+func (p *plan) missed(s Server, strengths []float64) (float64, bool) {
+	if s.Lost || s.Loading {
+		return 0, false
+	}
+	counts := p.counts()
+	part, each := 0.0, p.strength(s, s.Holds)
+	for layer := max(s.Holds.From, 0); layer < min(s.Holds.To, len(counts)); layer++ {
+		if counts[layer] < 2 {
+			return 0, false
+		}
+		if strengths[layer] > 0 {
+			part = max(part, each/strengths[layer])
+		}
+	}
+	return part, true
+}
+
+// widen takes the weakest layers beside a gap in, as far as an empty server has
+// room: it will be of use beyond the gap. A server that others must do without
+// loads no more than the gap.
+func (p *plan) widen(at int, gap api.Layers) api.Layers {
+	s := p.servers[at]
+	longest := p.comfortable(s.Card)
+	if s.Holds.Len() > 0 || gap.Len() >= longest {
+		return gap
+	}
+	return p.weakest(longest, func(window api.Layers) bool { return window.From <= gap.From && window.To >= gap.To })
+}
+
+// weakest is the window of a length that most needs another server.
+func (p *plan) weakest(length int, fits func(api.Layers) bool) api.Layers {
+	strengths := p.strengths()
+	length = min(length, len(strengths))
+	var best api.Layers
+	most := -1.0
+	for from := 0; from+length <= len(strengths); from++ {
+		window := api.Layers{From: from, To: from + length}
+		if !fits(window) {
+			continue
+		}
+		sum := 0.0
+		for _, strength := range strengths[window.From:window.To] {
+			sum += 1 / ((1 + strength) * (1 + strength))
+		}
+		if sum > most {
+			best, most = window, sum
+		}
+	}
+	return best
+}
+
+func anyWindow(api.Layers) bool { return true }
+
+// fillEmpty gives the empty servers that are left the weakest layers, the fastest
+// server first.
+func (p *plan) fillEmpty() {
+	var empty []int
+	for i, s := range p.servers {
+		if !s.Lost && s.planned().Len() == 0 && p.engine.Fits(s.Card) > 0 {
+			empty = append(empty, i)
+		}
+	}
+	slices.SortStableFunc(empty, func(a, b int) int { return cmp.Compare(p.servers[a].Card.Pace, p.servers[b].Card.Pace) })
+	for _, at := range empty {
+		p.give(at, p.weakest(p.comfortable(p.servers[at].Card), anyWindow))
+	}
+}
+
+// relieve has crowded servers give up layers at one end that others hold too.
+func (p *plan) relieve() {
+	counts := p.counts()
+	for i, s := range p.servers {
+		held := s.Holds
+		longest := max(int(fillNext*float64(p.engine.Fits(s.Card))), 1)
+		if s.Lost || s.Loading || held.Len() <= longest {
+			continue
+		}
+		for held.Len() > longest && counts[held.To-1] > 1 {
+			held.To--
+		}
+		for held.Len() > longest && counts[held.From] > 1 {
+			held.From++
+		}
+		if held != s.Holds {
+			giveUp(counts, s.Holds, held)
+			p.give(i, held)
+		}
+	}
+}
+
+// improve moves the server that is missed least to the weakest layers, when they
+// gain much by it.
+func (p *plan) improve() {
+	strengths := p.strengths()
+	at, least := -1, expendable
+	for i, s := range p.servers {
+		if part, ok := p.missed(s, strengths); ok && part < least {
+			at, least = i, part
+		}
+	}
+	if at < 0 {
+		return
+	}
+	s := p.servers[at]
+	window := p.weakest(p.comfortable(s.Card), anyWindow)
+	before := slices.Min(strengths[window.From:window.To])
+	if overlap(window, s.Holds) > 0 || before+p.strength(s, window) < worthMove*before {
+		return
+	}
+	p.give(at, window)
+}
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -75,7 +75,7 @@
 	apply(t, model(), servers, spread.Layout(model(), servers))
 	servers = slices.Delete(servers, 9, 10)
 	for range 10 {
-		apply(t, model(), servers, spread.Toward(model(), servers))
+		apply(t, model(), servers, spread.Plan(model(), servers))
 	}
 	g.Expect(copies(model(), servers)).To(Equal(2))
 }
@@ -88,7 +88,55 @@
 	apply(t, model(), servers, spread.Layout(model(), servers))
 	lost := servers[3].Holds
 	servers[3].Holds = api.Layers{}
-	g.Expect(spread.Toward(model(), servers)).To(Equal([]spread.Order{{Server: "s03", Layers: lost}}))
+	g.Expect(spread.Plan(model(), servers)).To(Equal([]spread.Order{{Server: "s03", Layers: lost}}))
+}
+
+// Symptom: a data centre that works is out of order for seconds because a server
+// came or went. Sequence: one server is lost for good, two others join. Cause: all
+// servers move to a new layout of the whole.
+func TestServersOfUseStayWhereTheyAre(t *testing.T) {
+	g := NewWithT(t)
+	engine := model()
+	servers := fleet(big, big, middle, middle, small, small, small, small, small)
+	apply(t, engine, servers, spread.Plan(engine, servers))
+	lost := servers[3].Holds
+	servers = slices.Delete(servers, 3, 4)
+	orders := spread.Plan(engine, servers)
+	g.Expect(orders).To(HaveLen(2), "two small servers that can be spared take what was lost")
+	apply(t, engine, servers, orders)
+	g.Expect(copies(engine, servers)).To(BeNumerically(">=", 1))
+	before := slices.Clone(servers)
+	servers = append(servers, spread.Server{ID: "t1", Card: middle}, spread.Server{ID: "t2", Card: small})
+	orders = spread.Plan(engine, servers)
+	apply(t, engine, servers, orders)
+	g.Expect(servers[:len(before)]).To(Equal(before))
+	g.Expect(servers[len(before)].Holds.Overlap(lost).Len()).To(BeNumerically(">", lost.Len()/2), "the fast newcomer strengthens what slow ones hold")
+}
+
+// Symptom: half of a data centre's throughput is gone for good while slow servers
+// idle. Sequence: a server of the fast copy is lost for good; the slow copy still
+// has its layers. Cause: what is covered isn't looked at.
+func TestASpareServerHelpsTheWeakestLayers(t *testing.T) {
+	g := NewWithT(t)
+	engine := model()
+	servers := fleet(big, middle, middle, middle, middle, middle, middle, small, small, small, small, small)
+	apply(t, engine, servers, spread.Plan(engine, servers))
+	lost := servers[2].Holds
+	servers = slices.Delete(servers, 2, 3)
+	var moved int
+	for range 10 {
+		orders := spread.Plan(engine, servers)
+		moved += len(orders)
+		apply(t, engine, servers, orders)
+	}
+	g.Expect(moved).To(And(BeNumerically(">=", 1), BeNumerically("<=", 4)), "it comes to rest")
+	counts := 0
+	for _, s := range servers {
+		if s.Holds.Overlap(lost).Len() > 0 && s.Card == small {
+			counts++
+		}
+	}
+	g.Expect(counts).To(BeNumerically(">=", 1))
 }
 
 // Symptom: a layer is held nowhere though every server did as it was told.
@@ -105,7 +153,7 @@
 		servers := fleet(cards...)
 		for range 12 {
 			before := copies(engine, servers)
-			apply(t, engine, servers, spread.Toward(engine, servers))
+			apply(t, engine, servers, spread.Plan(engine, servers))
 			if before > 0 && copies(engine, servers) == 0 {
 				t.Fatalf("a repair took the last copy of a layer: %v", servers)
 			}
@@ -115,7 +163,10 @@
 		}
 		total := 0
 		for range 2 * len(servers) {
-			apply(t, engine, servers, spread.Toward(engine, servers))
+			apply(t, engine, servers, spread.Plan(engine, servers))
+		}
+		if orders := spread.Plan(engine, servers); len(orders) > 0 {
+			t.Fatalf("servers don't come to rest: %v of %v", orders, servers)
 		}
 		for _, s := range servers {
 			total += engine.Fits(s.Card)
@@ -136,7 +187,7 @@
 		servers[i].Holds = held
 	}
 	for range 5 {
-		apply(t, model(), servers, spread.Toward(model(), servers))
+		apply(t, model(), servers, spread.Plan(model(), servers))
 	}
 	g.Expect(copies(model(), servers)).To(BeNumerically(">=", 1))
 }
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -152,7 +152,7 @@
 		if !p.ready(servers) {
 			continue
 		}
-		for _, order := range spread.Toward(service.Engine, p.withLost(service, servers)) {
+		for _, order := range spread.Plan(service.Engine, p.withLost(service, servers)) {
 			p.order(ctx, service, addresses[order.Server], order)
 		}
 	}
