Share servers' reports, learn the paces of late paths, re-cover dark servers at once

(2) A server that fell dark was covered again only when its entry lapsed, 3 s later.

Change: streams share reports (150 ms); a first event that is late by half of the target has the paces of its path's servers asked, at most 8 a second and VM, told to the other VMs, and asked again each second while a server is slow. A server that another one waits for in vain holds nothing as far as placement is concerned.

Ruled out: passing heard paces on (a word that goes round would keep a server slow for ever; test).

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -56,6 +56,13 @@
 	fullUntil time.Duration
 	// fullSpan is how long it was held to be full the last time.
 	fullSpan time.Duration
+	// darkUntil is until when the server counts as lost, by another server's word.
+	darkUntil time.Duration
+	// pace is how many times as long as usual the server takes, as it said at pacedAt.
+	// askedAt is when this VM asked it last, and paceNews says that others should know.
+	pace             float64
+	pacedAt, askedAt time.Duration
+	paceNews         bool
 	// running and memory are this VM's requests on the server, and what they take
 	// there, in tokens times layers.
 	running int
--- a/internal/core/backends/backends_test.go
+++ b/internal/core/backends/backends_test.go
@@ -154,6 +154,41 @@
 	}
 }
 
+// Symptom: first events are late though servers idle. Sequence: a server works at a
+// quarter of its speed; it says so when asked. Cause: its entry is all that counts.
+func TestASlowServerGetsLessUntilItIsFastAgain(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Replace(0, []backends.Server{server("s1", "a", "fast", 0, 40), server("s2", "a", "fast", 0, 40), server("s3", "a", "fast", 40, 80)}, 1)
+	g.Expect(path(g, f, request())).To(Equal("s1[0,40) s3[40,80)"))
+	f.Paced(time.Second, "s1", 4)
+	f.Paced(time.Second, "s3", 1)
+	at := func(now time.Duration) string {
+		choice, err := f.Path(now, service(), request())
+		g.Expect(err).NotTo(HaveOccurred())
+		return choice.Path.String()
+	}
+	g.Expect(at(time.Second)).To(Equal("s2[0,40) s3[40,80)"))
+	g.Expect(f.Paces(time.Second, time.Second)).To(Equal(map[string]float64{"s1": 4}))
+	g.Expect(f.Slow(3*time.Second, time.Second)).To(HaveLen(1), "asked again")
+	f.Paced(3*time.Second, "s1", 1)
+	g.Expect(at(3 * time.Second)).To(Equal("s1[0,40) s3[40,80)"))
+	g.Expect(f.Paces(3*time.Second, time.Second)).To(Equal(map[string]float64{"s1": 1}), "others know it as slow")
+	g.Expect(f.Slow(5*time.Second, time.Second)).To(BeEmpty())
+}
+
+// Symptom: a server counts as slow for ever. Sequence: two VMs tell one another what
+// each heard. Cause: a word that goes round looks new each time.
+func TestAPaceThatWasHeardIsNotPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Put(0, server("s1", "a", "fast", 0, 80))
+	f.HeardPace(time.Second, "s1", 4)
+	g.Expect(f.Paces(time.Second, time.Second)).To(BeEmpty())
+	g.Expect(f.Pace(time.Second, "s1")).To(Equal(4.0))
+	g.Expect(f.Pace(10*time.Second, "s1")).To(Equal(1.0), "old word")
+}
+
 func TestMovedRequestsKeepTheirFirstPart(t *testing.T) {
 	g := NewWithT(t)
 	f := backends.New()
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -211,7 +211,7 @@
 	if engine.ReadPerSecond > 0 {
 		read = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, 0.1)
 	}
-	base := (request.Answer*step + read) / float64(engine.Layers)
+	base := (request.Answer*step + read) / float64(engine.Layers) * k.paceAt(now)
 	return base * f.pressure(now, k, engine.Room(card, held.Layers.Len()))
 }
 
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -95,7 +95,7 @@
 	if held.Len() == 0 {
 		return 0
 	}
-	return p.engine.Room(s.Card, held.Len()) / float64(held.Len()) / max(s.Card.Pace, 0.1)
+	return p.engine.Room(s.Card, held.Len()) / float64(held.Len()) / max(s.Card.Pace, 0.1) / max(s.Pace, 1)
 }
 
 // layer is what the servers that hold it make of it.
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -24,6 +24,8 @@
 	// Ordered is the range that it was told to hold, while that is Loading.
 	Ordered api.Layers
 	Loading bool
+	// Pace is how many times as long as usual the server takes now. 0 is not known.
+	Pace float64
 	// Lost says that the server went a moment ago and may be back soon. The layout
 	// keeps its place, but nobody can use what it held.
 	Lost bool
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -76,6 +76,7 @@
 	var group run.Group
 	actors.AddContext(&group, reload.run)
 	actors.AddContext(&group, config.run)
+	actors.AddContext(&group, handler.RunPaces)
 	actors.AddContext(&group, newServerList(p, dispatcher).run)
 	live := func() []string { return []string{s.VM} }
 	if s.Peers != "" {
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -70,6 +70,8 @@
 	Lost []string `json:"x,omitempty"`
 	// Left are the servers that leave, or whose entries are gone.
 	Left []backends.Departure `json:"g,omitempty"`
+	// Slow are the paces that this VM was told of servers that are slow or were.
+	Slow map[string]float64 `json:"p,omitempty"`
 }
 
 // addPeers adds the server for other VMs and the talk with them.
@@ -153,8 +155,9 @@
 	t.count++
 	now := word{Count: t.count, Loads: make(map[string]int), Repeats: t.dispatcher.Repeats()}
 	var news []backends.Departure
-	t.dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) {
+	t.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
 		news = fleet.News()
+		now.Slow = fleet.Paces(at, 2*tellEvery)
 		for id, memory := range fleet.Loads() {
 			now.Loads[id] = int(memory / loadUnit)
 		}
@@ -216,10 +219,13 @@
 	}
 	t.dispatcher.HeardRepeats(entry.VM, now.Repeats)
 	for _, id := range now.Lost {
-		t.handler.Lost(id)
+		t.handler.Lost(id, true)
 	}
 	t.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
 		fleet.Heard(entry.VM, loads)
+		for id, pace := range now.Slow {
+			fleet.HeardPace(at, id, pace)
+		}
 		for _, gone := range now.Left {
 			fleet.Leave(at, gone)
 		}
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -158,10 +159,18 @@
 	}
 }
 
-// servers are the data centre's, each with what it holds and was ordered to.
+// servers are the data centre's, each with what it holds and was ordered to. Those
+// that other servers wait for in vain are left out, seconds before the platform
+// misses them.
 func (p *placer) servers(service routes.Service) ([]spread.Server, map[string]string) {
 	var listed []backends.Server
-	p.dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { listed = fleet.Servers(service.Name) })
+	paces := make(map[string]float64)
+	p.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
+		listed = slices.DeleteFunc(fleet.Servers(service.Name), func(s backends.Server) bool { return fleet.IsDark(at, s.ID) })
+		for _, s := range listed {
+			paces[s.ID] = fleet.Pace(at, s.ID)
+		}
+	})
 	now := bootclock.Now()
 	var servers []spread.Server
 	addresses := make(map[string]string)
@@ -169,7 +178,7 @@
 		if s.DataCentre != p.parts.Settings.DataCentre {
 			continue
 		}
-		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds)}
+		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds), Pace: paces[s.ID]}
 		if order, ok := p.pending[s.ID]; ok && (server.Holds == order.layers || now > order.until) {
 			delete(p.pending, s.ID)
 		} else if ok {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -175,7 +175,7 @@
 		// Another process is there, or one that gave up the layers.
 		h.Dispatcher.suspect(blamed, suspectMoved)
 	case took >= silentRefusal:
-		h.Dispatcher.suspect(blamed, suspectDark)
+		h.Dispatcher.lost(blamed, answer.Blame != "")
 	default:
 		h.Dispatcher.full(blamed)
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -128,6 +128,31 @@
 	d.fleet.Suspect(d.now(), id, span)
 }
 
+// lost keeps new requests off a server that doesn't answer. sure says that another
+// server found so.
+func (d *Dispatcher) lost(id string, sure bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Suspect(d.now(), id, suspectDark)
+	if sure {
+		d.fleet.Dark(d.now(), id, suspectDark)
+	}
+}
+
+// paceKnown tells whether a server's pace was learnt a moment ago.
+func (d *Dispatcher) paceKnown(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.PaceAge(d.now(), id) < paceAge
+}
+
+// slowDue lists the servers that were slow and are to be asked again.
+func (d *Dispatcher) slowDue() []backends.Server {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.Slow(d.now(), paceAge)
+}
+
 // full notes that a server had no room.
 func (d *Dispatcher) full(id string) {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -64,12 +64,13 @@
 	bodies        atomic.Int64
 	inFlight      atomic.Int64
 	watches       watches
+	reports       *reports
 }
 
 // New makes a handler.
 func New(options Options) *Handler {
 	pooled, fresh := wire.Transports(connectTimeout, nil, idlePerServer)
-	return &Handler{Options: options, pooled: pooled, fresh: fresh, watches: watches{all: make(map[*watchdog]struct{})}}
+	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), watches: watches{all: make(map[*watchdog]struct{})}}
 }
 
 // InFlight is the number of requests that are being served.
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -15,9 +15,6 @@
 
 // The time limits of looking into a silent path.
 const (
-	// reportTimeout bounds the question what a silent path waits for. The answer
-	// takes a millisecond or two.
-	reportTimeout = 200 * time.Millisecond
 	// moveTimeout bounds the order that moves a request to another path.
 	moveTimeout = 300 * time.Millisecond
 )
@@ -80,7 +77,7 @@
 func (h *Handler) watch(x *exchange, o *opened) *watchdog {
 	w := &watchdog{h: h, x: x, o: o}
 	if x.route.Repeat == routes.Resumable && h.Patience > 0 {
-		w.timer = time.AfterFunc(h.Patience, w.look)
+		w.timer = time.AfterFunc(h.firstPatience(x), w.look)
 		h.watches.add(w)
 	}
 	return w
@@ -88,9 +85,9 @@
 
 // Lost says that a server doesn't answer, as this VM or another one found. What
 // runs through it moves at once: waiting for each stream's own silence would cost
-// each of them that time.
-func (h *Handler) Lost(id string) {
-	h.Dispatcher.suspect(id, suspectDark)
+// each of them that time. sure says that another server found it, not only this VM.
+func (h *Handler) Lost(id string, sure bool) {
+	h.Dispatcher.lost(id, sure)
 	for _, w := range h.watches.list() {
 		if w.uses(id) {
 			go w.move(id)
@@ -98,6 +95,19 @@
 	}
 }
 
+// latePart is the part of the target after which a first event is late enough to
+// look for the cause.
+const latePart = 0.5
+
+// firstPatience is how long the first event is waited for before the path is looked
+// into: half of the target, so that there is time to do something about it.
+func (h *Handler) firstPatience(x *exchange) time.Duration {
+	if x.route.Target <= 0 {
+		return h.Patience
+	}
+	return min(h.Patience, time.Duration(latePart*float64(x.route.Target)))
+}
+
 func (w *watchdog) uses(id string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -131,10 +141,10 @@
 
 // look asks the first server what the request waits for.
 func (w *watchdog) look() {
-	ctx, cancel := context.WithTimeout(w.o.ctx, reportTimeout)
-	defer cancel()
-	first := w.o.choice.First
-	report, err := w.h.Engines.Report(ctx, first.Address)
+	w.mu.Lock()
+	first, path := w.o.choice.First, w.o.choice.Path
+	w.mu.Unlock()
+	report, err := w.h.reports.get(w.o.ctx, first.Address, stallAge)
 	if w.o.ctx.Err() != nil {
 		return
 	}
@@ -143,6 +153,7 @@
 		blamed, ok = w.waitsFor(report)
 	}
 	if !ok {
+		w.h.learnPaces(path)
 		w.again(w.h.Patience / 2)
 		return
 	}
@@ -152,7 +163,7 @@
 		// fault of its own links.
 		w.h.Found(blamed)
 	}
-	w.h.Lost(blamed)
+	w.h.Lost(blamed, err == nil)
 }
 
 // waitsFor is the server on the path that the request waits for, by the report of
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -30,12 +30,26 @@
 	stalled string
 	refuse  bool
 	moved   chan chain.Path
+	// asked counts the reports by address, and pace is what each says.
+	asked map[string]int
+	pace  float64
 }
 
-func (e *engines) Report(context.Context, string) (relay.Report, error) {
+func (e *engines) Report(_ context.Context, address string) (relay.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return relay.Report{Stalled: map[string]string{"r1": e.stalled}}, nil
+	e.asked[address]++
+	return relay.Report{Stalled: map[string]string{"r1": e.stalled}, Pace: e.pace}, nil
+}
+
+func (e *engines) reports() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	sum := 0
+	for _, n := range e.asked {
+		sum += n
+	}
+	return sum
 }
 
 func (e *engines) Place(context.Context, string, string, relay.Order) error { return nil }
@@ -63,7 +77,7 @@
 }
 
 func newRig(t *testing.T) *rig {
-	r := &rig{WithT: NewWithT(t), engines: &engines{moved: make(chan chain.Path, 8)}, found: make(chan string, 8), goOn: make(chan struct{})}
+	r := &rig{WithT: NewWithT(t), engines: &engines{moved: make(chan chain.Path, 8), asked: make(map[string]int)}, found: make(chan string, 8), goOn: make(chan struct{})}
 	engine := &routes.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: time.Millisecond, Prompt: 100, Answer: 10, Cards: map[string]routes.Card{"c": {MB: 100_000, Pace: 1}}}
 	route := routes.Route{Host: "a.example", Prefix: "/", Repeat: routes.Resumable, Stream: true, Attempts: 2, Shares: []routes.Share{{Service: "llm", Weight: 1}}}
 	start := time.Now()
@@ -162,3 +176,27 @@
 	r.Eventually(done, "5s").Should(Receive(Equal(wholeAnswer)))
 	r.Expect(r.runs).To(Equal([]string{""}))
 }
+
+// Symptom: thousands of reports are asked for within seconds. Sequence: many streams
+// fall silent behind one slow server; each looks every quarter of a second. Cause:
+// each asks for itself.
+func TestSilentStreamsShareTheirReports(t *testing.T) {
+	r := newRig(t)
+	r.engines.stalled, r.engines.pace = "", 4
+	const streams = 20
+	done := make(chan string, streams)
+	for range streams {
+		go func() { done <- r.call() }()
+	}
+	r.Eventually(r.engines.reports, "5s").Should(BeNumerically(">=", 2), "of a first server, and of another for its pace")
+	began := time.Now()
+	r.Consistently(func() bool {
+		// Two first servers each 150 ms, and four paces a second.
+		most := 2*(int(time.Since(began)/(150*time.Millisecond))+2) + 4*(int(time.Since(began)/time.Second)+2)
+		return r.engines.reports() <= most
+	}, "600ms").Should(BeTrue())
+	close(r.goOn)
+	for range streams {
+		r.Eventually(done, "5s").Should(Receive(Equal(wholeAnswer)))
+	}
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -77,6 +77,8 @@
 	Layers api.Layers
 	// Stalled gives, by request, the address of the server that it waits for.
 	Stalled map[string]string
+	// Pace is how many times as long as usual the server takes. 0 when it doesn't say.
+	Pace float64
 }
 
 // Order tells a model server which layers to hold.
