Let spare servers stand in for long loads; queued refusals prove nobody lost

Change: loads longer than 2 s don't count as cover; spare servers with few requests take the layers in pieces. Only a server's word that it waits for another makes that one lost to placement.

Ruled out: the role and late orders as the cause of the gap (orders were given at once and carried out).

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -233,6 +233,20 @@
 	return engine.Room(engine.Cards[k.Card], k.Holds[0].Layers.Len())
 }
 
+// Used is the part of a server's room for requests that is taken, as far as this VM
+// knows.
+func (f *Fleet) Used(engine *routes.Engine, id string) float64 {
+	k, ok := f.servers[id]
+	if !ok {
+		return 0
+	}
+	room := k.room(engine)
+	if room <= 0 {
+		return 0
+	}
+	return f.load(k) / room
+}
+
 // Known finds a server by ID, unless it is gone.
 func (f *Fleet) Known(id string) (Server, bool) {
 	k, ok := f.servers[id]
--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -54,6 +54,11 @@
 	return max(free, 0) / (e.TokenBytes / float64(e.Layers))
 }
 
+// LoadFor is the time to load so many layers.
+func (e *Engine) LoadFor(layers int) time.Duration {
+	return e.LoadTime * time.Duration(layers) / time.Duration(max(e.Layers, 1))
+}
+
 // StepFor is the time of one token through all layers at pace 1 in a batch of so
 // many usual requests.
 func (e *Engine) StepFor(requests float64) time.Duration {
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -18,6 +19,12 @@
 	// together. A move costs the time of a load; and since the need falls with each of
 	// them, servers come to rest.
 	worthMove = 1.15
+	// soon is how long a load may take for layers that nobody else holds: a small server
+	// that can be spared loads its part of them in less.
+	soon = 2 * time.Second
+	// usedCost is how much a server that is full of requests counts as missed beyond
+	// its part of the strength: what it gives up is free only when they have ended.
+	usedCost = 0.5
 )
 
 // Plan returns the orders that can be given now. Servers stay where they are as
@@ -75,11 +82,11 @@
 	orders  []Order
 }
 
-// counts are the servers that hold or will hold each layer. A lost one doesn't.
+// counts are the servers that hold each layer or will soon. A lost one doesn't.
 func (p *plan) counts() []int {
 	counts := make([]int, p.engine.Layers)
 	for _, s := range p.servers {
-		if s.Lost {
+		if s.Lost || s.Loading && s.Wait > soon {
 			continue
 		}
 		for layer := max(s.planned().From, 0); layer < min(s.planned().To, len(counts)); layer++ {
@@ -117,7 +124,9 @@
 // give orders a range. The server counts as loading it.
 func (p *plan) give(at int, layers api.Layers) {
 	p.orders = append(p.orders, Order{Server: p.servers[at].ID, Layers: layers})
-	p.servers[at].Ordered, p.servers[at].Loading = layers, true
+	s := &p.servers[at]
+	s.Wait = p.engine.LoadFor(layers.Len() - overlap(s.Holds, layers))
+	s.Ordered, s.Loading = layers, true
 }
 
 // cover gives the layers that nobody holds to servers that can be had.
@@ -184,7 +193,7 @@
 			part = max(part, each/layers[at].strength)
 		}
 	}
-	return part, true
+	return part + usedCost*s.Used, true
 }
 
 // widen takes the weakest layers beside a gap in, as far as an empty server has
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -10,6 +10,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -24,6 +25,10 @@
 	// Ordered is the range that it was told to hold, while that is Loading.
 	Ordered api.Layers
 	Loading bool
+	// Wait is how long the load still takes, while that is Loading.
+	Wait time.Duration
+	// Used is the part of the room for requests that is taken.
+	Used float64
 	// Pace is how many times as long as usual the server takes now. 0 is not known.
 	Pace float64
 	// Lost says that the server went a moment ago and may be back soon. The layout
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
@@ -131,6 +132,31 @@
 	g.Expect(copies(servers)).To(Equal(2))
 }
 
+// Symptom: a data centre does nothing for seconds while a server loads. Sequence:
+// the only holder of its last layers leaves as its successor registers,
+// empty. Cause: what is being loaded counts as held.
+func TestSpareServersStandInForALongLoad(t *testing.T) {
+	g := NewWithT(t)
+	engine := model()
+	engine.LoadTime = 14 * time.Second
+	servers := fleet(big, big, middle, middle, small, small, small, small, small)
+	apply(t, engine, servers, spread.Plan(engine, servers))
+	hole := servers[3].Holds
+	servers[3] = spread.Server{ID: "t0", Card: middle}
+	orders := spread.Plan(engine, servers)
+	var covered []bool
+	for layer := hole.From; layer < hole.To; layer++ {
+		covered = append(covered, slices.ContainsFunc(orders, func(o spread.Order) bool {
+			return o.Server != "t0" && layer >= o.Layers.From && layer < o.Layers.To
+		}))
+	}
+	g.Expect(orders).To(ContainElement(HaveField("Server", "t0")))
+	g.Expect(covered).NotTo(ContainElement(false))
+	// Once the load is nearly over nobody else is moved for it.
+	servers[3].Ordered, servers[3].Loading, servers[3].Wait = hole, true, time.Second
+	g.Expect(spread.Plan(engine, servers)).To(BeEmpty())
+}
+
 // Symptom: half of a data centre's throughput is gone for good while slow servers
 // idle. Sequence: a server of the fast copy is lost for good; the slow copy still
 // has its layers. Cause: what is covered isn't looked at.
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -84,7 +84,8 @@
 
 type pendingOrder struct {
 	layers api.Layers
-	until  time.Duration
+	// loaded is when the load should be over, and until when the order is given up.
+	loaded, until time.Duration
 }
 
 func newPlacer(p Parts, d *relay.Dispatcher, live func() []string, stopping func() bool) *placer {
@@ -164,11 +165,11 @@
 // misses them.
 func (p *placer) servers(service routes.Service) ([]spread.Server, map[string]string) {
 	var listed []backends.Server
-	paces := make(map[string]float64)
+	paces, used := make(map[string]float64), make(map[string]float64)
 	p.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
 		listed = slices.DeleteFunc(fleet.Servers(service.Name), func(s backends.Server) bool { return fleet.IsDark(at, s.ID) })
 		for _, s := range listed {
-			paces[s.ID] = fleet.Pace(at, s.ID)
+			paces[s.ID], used[s.ID] = fleet.Pace(at, s.ID), fleet.Used(service.Engine, s.ID)
 		}
 	})
 	now := bootclock.Now()
@@ -178,11 +179,11 @@
 		if s.DataCentre != p.parts.Settings.DataCentre {
 			continue
 		}
-		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds), Pace: paces[s.ID]}
+		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds), Pace: paces[s.ID], Used: used[s.ID]}
 		if order, ok := p.pending[s.ID]; ok && (server.Holds == order.layers || now > order.until) {
 			delete(p.pending, s.ID)
 		} else if ok {
-			server.Ordered, server.Loading = order.layers, true
+			server.Ordered, server.Loading, server.Wait = order.layers, true, order.loaded-now
 		}
 		servers = append(servers, server)
 		addresses[s.ID] = s.Address
@@ -258,8 +259,8 @@
 // order gives an order on condition of the server's count of orders, so that one
 // which arrives late, after a newer one, does nothing.
 func (p *placer) order(ctx context.Context, service routes.Service, address string, order spread.Order) {
-	card := service.Engine.LoadTime * time.Duration(order.Layers.Len()) / time.Duration(service.Engine.Layers)
-	p.pending[order.Server] = pendingOrder{layers: order.Layers, until: bootclock.Now() + orderLost + 4*card}
+	load, now := service.Engine.LoadFor(order.Layers.Len()), bootclock.Now()
+	p.pending[order.Server] = pendingOrder{layers: order.Layers, loaded: now + load, until: now + orderLost + 4*load}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -175,7 +175,9 @@
 		// Another process is there, or one that gave up the layers.
 		h.Dispatcher.suspect(blamed, suspectMoved)
 	case took >= silentRefusal:
-		h.Dispatcher.lost(blamed, answer.Blame != "")
+		// A request may also have waited for its turn that long, before the server that
+		// is blamed gave up the layers. So it isn't proof that the server is lost.
+		h.Dispatcher.lost(blamed, false)
 	default:
 		h.Dispatcher.full(blamed)
 	}
