Recognise requests that crash servers where they are forwarded

Cause: internal/core/poison was not joined to internal/relay: a request that crashes each server that begins to run it was repeated, here and from VM to VM, until its callers gave up.

Change: losses, proofs (another process at the address, a refused connection) and findings go through the table that serve uses; VMs tell one another. What ends well is cleared, pending losses included (Table.Cleared): what everybody asks for is on every server that crashes.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -150,6 +150,20 @@
 	delete(t.elsewhere, body)
 }
 
+// Cleared is Acquit for a body that ran well while losses of it wait for judgement:
+// what many ask for again and again is on every server that crashes, and it is the
+// one thing that a body which crashes servers can't do.
+func (t *Table) Cleared(body Body) {
+	t.Acquit(body)
+	if t.pending[body] == 0 {
+		return
+	}
+	for _, c := range t.crashes {
+		delete(c.bodies, body)
+	}
+	delete(t.pending, body)
+}
+
 // Learn takes another VM's finding. The crashes of several VMs are the union of
 // the processes that they lost, and never fewer than one VM counted, so that the
 // order in which word arrives makes no difference. It returns whether the body
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -77,7 +77,8 @@
 	actors.AddContext(&group, reload.run)
 	actors.AddContext(&group, config.run)
 	actors.AddContext(&group, handler.RunPaces)
-	actors.AddContext(&group, newServerList(p, dispatcher).run)
+	actors.AddContext(&group, handler.RunPoison)
+	actors.AddContext(&group, newServerList(p, dispatcher, handler.Registered).run)
 	live := func() []string { return []string{s.VM} }
 	if s.Peers != "" {
 		talk, err := addPeers(&group, p, dispatcher, handler, config)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -52,6 +52,8 @@
 	// telling is held while a word is made. count counts the words.
 	telling sync.Mutex
 	count   uint64
+	// recent are the findings of the last words, which are told again.
+	recent [][]relay.Finding
 
 	mu sync.Mutex
 	// found are the servers that don't answer, by this VM's findings, and leaving
@@ -72,6 +74,8 @@
 	Left []backends.Departure `json:"g,omitempty"`
 	// Slow are the paces that this VM was told of servers that are slow or were.
 	Slow map[string]float64 `json:"p,omitempty"`
+	// Findings are what is held against bodies that may crash servers.
+	Findings []relay.Finding `json:"c,omitempty"`
 }
 
 // addPeers adds the server for other VMs and the talk with them.
@@ -163,11 +167,27 @@
 		}
 	})
 	now.Lost, now.Left = t.stillTold(news)
+	now.Findings = t.findings()
 	value, err := json.Marshal(now)
 	if err != nil {
 		panic(err) // counts always encode
 	}
-	t.gossip.Put(keyWord, value, len(now.Lost)+len(now.Left) > 0)
+	t.gossip.Put(keyWord, value, len(now.Lost)+len(now.Left)+len(now.Findings) > 0)
+}
+
+// findings lists what this word tells of bodies that may crash servers: all that is
+// new, and what the last words told.
+func (t *peers) findings() []relay.Finding {
+	fresh := t.handler.Findings()
+	t.recent = append(t.recent, fresh)
+	if len(t.recent) > toldTimes {
+		t.recent = t.recent[1:]
+	}
+	var list []relay.Finding
+	for _, findings := range t.recent {
+		list = append(list, findings...)
+	}
+	return list
 }
 
 // toldTimes is in how many words a lost server is told.
@@ -218,6 +238,9 @@
 		loads[id] = float64(units * loadUnit)
 	}
 	t.dispatcher.HeardRepeats(entry.VM, now.Repeats)
+	for _, finding := range now.Findings {
+		t.handler.HeardFinding(finding)
+	}
 	for _, id := range now.Lost {
 		t.handler.Lost(id, true)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -21,13 +21,15 @@
 	parts      Parts
 	log        logr.Logger
 	dispatcher *relay.Dispatcher
+	// registered is told of each entry.
+	registered func(backends.Server)
 	lost       bool
 }
 
 var _ objects.Sink = (*serverList)(nil)
 
-func newServerList(p Parts, d *relay.Dispatcher) *serverList {
-	return &serverList{parts: p, log: p.Log, dispatcher: d}
+func newServerList(p Parts, d *relay.Dispatcher, registered func(backends.Server)) *serverList {
+	return &serverList{parts: p, log: p.Log, dispatcher: d, registered: registered}
 }
 
 func (l *serverList) run(ctx context.Context) error {
@@ -113,5 +115,6 @@
 		return server, false
 	}
 	server.Revision = object.Version
+	l.registered(server)
 	return server, true
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
@@ -63,8 +64,10 @@
 	response *http.Response
 	choice   backends.Choice
 	load     backends.Load
-	cancel   context.CancelCauseFunc
-	ctx      context.Context
+	// begun is when the request was sent, by bootclock.
+	begun  time.Duration
+	cancel context.CancelCauseFunc
+	ctx    context.Context
 }
 
 func (o *opened) close(d *Dispatcher) {
@@ -126,6 +129,7 @@
 	}
 	x.sends++
 	begun := time.Now()
+	o.begun = bootclock.Now()
 	response, err := transport.RoundTrip(request)
 	if err != nil {
 		return h.unanswered(x, o, sent.Any(), err)
@@ -154,11 +158,15 @@
 	}
 	telemetry.RelayAttemptFailed.Log(h.Log, append(x.fields(), "server", o.choice.First.ID, "sent", sent, "cause", err.Error())...)
 	if !sent {
+		if refusedConnection(err) {
+			h.suspects.closed(o.choice.First)
+		}
 		h.Dispatcher.suspect(o.choice.First.ID, suspectRefused)
 		x.avoid = append(x.avoid, o.choice.First.ID)
 		x.refusals++
 		return notStarted
 	}
+	h.brokeOff(x, o, err)
 	x.failed(o.choice)
 	return uncertain
 }
@@ -257,7 +265,7 @@
 	if last == notStarted {
 		return x.refusals < refusalsBound && h.Dispatcher.mayRepeat(x.service.Name, offersPart)
 	}
-	if x.route.Repeat == routes.Once || x.sends >= failuresBound {
+	if x.route.Repeat == routes.Once || x.sends >= failuresBound || !h.suspects.repeats(x.poison) {
 		return false
 	}
 	x.only = nil
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -160,6 +160,14 @@
 	d.fleet.Full(d.now(), id)
 }
 
+// leaving tells whether a server is to get nothing new.
+func (d *Dispatcher) leaving(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	server, ok := d.fleet.Known(id)
+	return ok && server.Draining
+}
+
 // gone tells whether a server's entry is not there any more, or leaving.
 func (d *Dispatcher) gone(id string) bool {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -15,6 +15,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
+	"oleandershunt.example/oleandershunt/internal/core/poison"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 	"oleandershunt.example/oleandershunt/internal/wire"
@@ -65,12 +66,13 @@
 	inFlight      atomic.Int64
 	watches       watches
 	reports       *reports
+	suspects      *suspects
 }
 
 // New makes a handler.
 func New(options Options) *Handler {
 	pooled, fresh := wire.Transports(connectTimeout, nil, idlePerServer)
-	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), watches: watches{all: make(map[*watchdog]struct{})}}
+	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), watches: watches{all: make(map[*watchdog]struct{})}}
 }
 
 // InFlight is the number of requests that are being served.
@@ -86,7 +88,9 @@
 	service routes.Service
 	account routes.Account
 	body    []byte
-	start   time.Time
+	// poison names what the request asks, to recognise one that crashes servers.
+	poison poison.Body
+	start  time.Time
 	// avoid lists the servers that failed the request.
 	avoid []string
 	// ran lists the servers that ran it or may have, those lost since left out.
@@ -117,6 +121,11 @@
 		return
 	}
 	defer h.bodies.Add(-int64(len(x.body)))
+	if x.poison = bodyOf(x); !h.suspects.begin(x.poison) {
+		h.refuse(x, poisoned())
+		return
+	}
+	defer h.suspects.end(x.poison)
 	limit := x.limit()
 	if limit < 0 {
 		h.refuse(x, notRun(ReasonDeadlineSpent, comeBack))
@@ -252,6 +261,9 @@
 
 // ended notes an answer that was passed on whole.
 func (h *Handler) ended(x *exchange, status int) {
+	if status < http.StatusInternalServerError {
+		h.suspects.acquit(x.poison)
+	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_answered_total{status=\"%d\"}", status)).Inc()
 	metrics.GetOrCreateHistogram("oleandershunt_relay_seconds").UpdateDuration(x.start)
 	if x.sends > 1 || status >= http.StatusInternalServerError {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -61,6 +61,7 @@
 	if err != nil || len(body) > answerBound {
 		if x.ctx.Err() == nil {
 			h.failedBody(x, o, err)
+			h.brokeOff(x, o, err)
 		}
 		x.failed(o.choice)
 		return nil, uncertain
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -36,6 +36,7 @@
 	ReasonTimeout       Reason = "timeout"
 	ReasonNoService     Reason = "service_unknown"
 	ReasonDeadlineSpent Reason = "deadline_spent"
+	ReasonPoison        Reason = "crashes_servers"
 )
 
 // refusal is an answer of this VM's own.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -96,6 +96,9 @@
 		return uncertain, true
 	}
 	h.failedBody(x, o, err)
+	if !errors.Is(err, errTorn) && !errors.Is(err, errBadEvents) {
+		h.brokeOff(x, o, err)
+	}
 	x.failed(o.choice)
 	return uncertain, false
 }
@@ -124,6 +127,8 @@
 	errCallerGone = errors.New("caller left")
 	// errTorn marks a stream that ended inside an event.
 	errTorn = errors.New("stream ended inside an event")
+	// errBadEvents marks a stream whose events can't be passed on.
+	errBadEvents = errors.New("events are not in order")
 )
 
 // pump passes whole events on as they come.
@@ -135,7 +140,7 @@
 		n, readErr := o.response.Body.Read(buffer)
 		whole, err := events.take(buffer[:n])
 		if err != nil {
-			return err
+			return fmt.Errorf("%w: %w", errBadEvents, err)
 		}
 		if len(whole) > 0 {
 			watch.progress()
