Resume streams whose answer is lost on the way

Cause: a server ran a request and its answer was lost without a reset.

Change: silent for 0.8 s with nothing queued and nobody waited for, the attempt ends and is resumed elsewhere.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -6,6 +6,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 )
 
@@ -146,6 +147,18 @@
 	return d.fleet.PaceAge(d.now(), id) < paceAge
 }
 
+// slowest is the pace of the slowest server of a path, as far as it is known; 1 for
+// none.
+func (d *Dispatcher) slowest(path chain.Path) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	pace := 1.0
+	for _, part := range path {
+		pace = max(pace, d.fleet.Pace(d.now(), part.ID))
+	}
+	return pace
+}
+
 // slowDue lists the servers that were slow and are to be asked again.
 func (d *Dispatcher) slowDue() []backends.Server {
 	d.mu.Lock()
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -40,6 +40,8 @@
 	ended bool
 	// moving says that a move is under way.
 	moving bool
+	// heard is when the attempt began, moved or brought its last event.
+	heard time.Time
 	// blamed lists the servers for which the attempt was moved or ended.
 	blamed []string
 }
@@ -75,7 +77,7 @@
 // watch starts looking at an attempt. Requests that may not run twice are left
 // to their servers' and callers' time limits.
 func (h *Handler) watch(x *exchange, o *opened) *watchdog {
-	w := &watchdog{h: h, x: x, o: o}
+	w := &watchdog{h: h, x: x, o: o, heard: time.Now()}
 	if x.route.Repeat == routes.Resumable && h.Patience > 0 {
 		w.timer = time.AfterFunc(h.firstPatience(x), w.look)
 		h.watches.add(w)
@@ -114,7 +116,12 @@
 	return !w.ended && slices.ContainsFunc(w.o.choice.Path, func(part chain.Part) bool { return part.ID == id })
 }
 
-func (w *watchdog) progress() { w.again(w.h.Patience) }
+func (w *watchdog) progress() {
+	w.mu.Lock()
+	w.heard = time.Now()
+	w.mu.Unlock()
+	w.again(w.h.Patience)
+}
 
 func (w *watchdog) again(after time.Duration) {
 	w.mu.Lock()
@@ -152,6 +159,10 @@
 	if err == nil {
 		blamed, ok = w.waitsFor(report)
 	}
+	if !ok && w.answerLost(report) {
+		w.giveUp(first.ID)
+		return
+	}
 	if !ok {
 		w.h.learnPaces(path)
 		w.again(w.h.Patience / 2)
@@ -166,6 +177,38 @@
 	w.h.Lost(blamed, err == nil)
 }
 
+// lostAfter is the silence after which an answer counts as lost, if its request waits
+// for nothing: the first event takes 30 to 100 ms, and callers leave after 2 s. On a
+// path with a slow server it is longer by that server's pace.
+const lostAfter = 800 * time.Millisecond
+
+// suspectMute keeps new requests off a server whose answer was lost.
+const suspectMute = time.Second
+
+// answerLost tells whether an answer won't come any more.
+//
+// What can go wrong: a server runs a request and its answer is lost on the way, without
+// a reset; or it takes requests and answers none. The first server's report names
+// nobody that is waited for. One notices a stream that is silent while nothing is queued.
+func (w *watchdog) answerLost(report Report) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	wait := float64(min(lostAfter, 2*w.h.Patience)) * w.h.Dispatcher.slowest(w.o.choice.Path)
+	return report.Queued == 0 && time.Since(w.heard) >= time.Duration(wait)
+}
+
+// giveUp ends the attempt, so that it is resumed elsewhere.
+func (w *watchdog) giveUp(first string) {
+	telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first)
+	w.h.Dispatcher.suspect(first, suspectMute)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.ended {
+		w.blamed = append(w.blamed, first)
+		w.o.cancel(errStalled)
+	}
+}
+
 // waitsFor is the server on the path that the request waits for, by the report of
 // the first one. A report is older than a move may be: it then names a server
 // that is not on the path any more, which says nothing about those that are.
@@ -206,6 +249,7 @@
 	load := choice.Load(request.Prompt + request.Answer)
 	w.h.Dispatcher.moved(w.o.load, load)
 	w.o.choice, w.o.load = choice, load
+	w.heard = time.Now()
 	w.timer.Reset(w.h.Patience)
 	telemetry.RelayMoved.Log(w.h.Log, "request", w.x.call.ID, "blamed", blamed, "path", choice.Path.String())
 }
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -77,6 +77,8 @@
 	Layers api.Layers
 	// Stalled gives, by request, the address of the server that it waits for.
 	Stalled map[string]string
+	// Queued is the number of requests that wait for their turn.
+	Queued int
 	// Pace is how many times as long as usual the server takes. 0 when it doesn't say.
 	Pace float64
 }
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -11,6 +11,7 @@
 	RelayStalled        = Event{4206, "path is silent: a backend server on it does not answer"}
 	RelayMoved          = Event{4208, "request moved to another path"}
 	RelayNotMoved       = Event{4209, "request not moved; its attempt ends"}
+	RelayAnswerLost     = Event{4211, "answer is lost; the request is resumed elsewhere"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 )
 
