Have one VM of a data centre read the configuration for all

Change: the first VM of a data centre reads, the others wait for its word (ConfigService.InForce with a wait), 16 at one VM. A word whose proof is older than the waits explain isn't enough: the platform is read. The times are parts of the time in which a configuration must be in force, now a setting.

Test: TestOneVMReadsTheConfigurationForADataCentre.

--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -12,11 +12,19 @@
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
-// The pace of reading the configuration.
+// The pace of reading the configuration, in parts of the time in which a new version
+// must be in force. Every read of the platform is paid for, so one VM of each data
+// centre reads and the others wait for its word. At worst a version was written just
+// after a read, the next one is due when the reader is lost, and a wait has just begun:
+// 0.45 + 0.25 of the time and a few hundred milliseconds.
 const (
-	// readEvery is the time between two reads: a new version is in force well within
-	// the two seconds that operators allow. Every read is paid for.
-	readEvery = 1200 * time.Millisecond
+	// readPart is the part between two reads.
+	readPart = 0.45
+	// followPart is the part that one wait for another VM's word takes.
+	followPart = 0.25
+	// latePart is by how much a word's proof may be older than the read and the waits
+	// on its way make it.
+	latePart = 0.1
 	// readAgain is the time to the next read after one that failed. Other VMs are asked
 	// meanwhile.
 	readAgain = 500 * time.Millisecond
@@ -33,14 +41,14 @@
 	parts      Parts
 	log        logr.Logger
 	dispatcher *relay.Dispatcher
-	keeper     proofKeeper
+	keeper     *proofKeeper
 	// peers are the VMs that are asked when the platform doesn't answer; nil for none.
 	peers *configPeers
 	lost  bool
 }
 
 func newConfigReader(p Parts, d *relay.Dispatcher) *configReader {
-	return &configReader{parts: p, log: p.Log, dispatcher: d}
+	return &configReader{parts: p, log: p.Log, dispatcher: d, keeper: newProofKeeper()}
 }
 
 // proven tells whether keys may be trusted.
@@ -50,25 +58,54 @@
 }
 
 func (c *configReader) run(ctx context.Context) error {
-	for {
-		sent := bootclock.Now()
-		object, err := c.parts.Store.Get(ctx, c.parts.Config.Kind, c.parts.Config.Name)
-		if err == nil {
-			c.take(object, sent)
-		} else if c.peers != nil {
-			c.peers.ask(ctx, c.keeper.get().object.Version, c.take)
+	for ctx.Err() == nil {
+		if c.followed(ctx) {
+			c.tell(nil)
+			continue
 		}
-		c.tell(err)
-		wait := readEvery
+		wait := c.part(readPart)
+		err := c.read(ctx)
 		if err != nil {
 			wait = readAgain
 		}
+		c.tell(err)
 		select {
 		case <-time.After(wait):
 		case <-ctx.Done():
-			return ctx.Err()
 		}
 	}
+	return ctx.Err()
+}
+
+func (c *configReader) part(part float64) time.Duration {
+	return time.Duration(part * float64(c.parts.current.get().ApplyWithin))
+}
+
+// followed learns from the VM that reads for this one. False when there is none, or
+// its proof is too old: it may be cut off from the platform, or paused.
+func (c *configReader) followed(ctx context.Context) bool {
+	if c.peers == nil {
+		return false
+	}
+	known := c.keeper.get().object.Version
+	said, hops := c.peers.follow(ctx, known, c.part(followPart), c.take)
+	now := c.keeper.get()
+	if hops == 0 || now.object.Version < said {
+		return false
+	}
+	return bootclock.Now()-now.provenAt < c.part(readPart+float64(hops)*followPart+latePart)
+}
+
+// read asks the platform, and other VMs where it doesn't answer.
+func (c *configReader) read(ctx context.Context) error {
+	sent := bootclock.Now()
+	object, err := c.parts.Store.Get(ctx, c.parts.Config.Kind, c.parts.Config.Name)
+	if err == nil {
+		c.take(object, sent)
+	} else if c.peers != nil {
+		c.peers.ask(ctx, c.keeper.get().object.Version, c.take)
+	}
+	return err
 }
 
 // take brings an object in force that was the newest at a moment. One that can't
--- a/internal/edge/fresh_test.go
+++ b/internal/edge/fresh_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -104,3 +105,53 @@
 	r.Consistently(func() int { return r.status("/plain/a", "r2") }, "1500ms", "100ms").Should(Equal(http.StatusOK))
 	r.Eventually(func() int { return r.status("/plain/a", "r3") }, "4s").Should(Equal(http.StatusServiceUnavailable))
 }
+
+// Symptom: the platform's calls grow with the number of VMs. Cause: each VM reads the
+// configuration. Here one reads for all of a data centre; a change still is in force on
+// all in time, and another VM reads when the reader is gone.
+func TestOneVMReadsTheConfigurationForADataCentre(t *testing.T) {
+	store := newMemory()
+	store.set("config", "main", table(1))
+	vms := []*rig{newVM(t, "vm-1", store, "")}
+	for _, name := range []string{"vm-2", "vm-3"} {
+		vms = append(vms, newVM(t, name, store, vms[0].settings.Peers))
+	}
+	reads := func() (total int, reader *rig) {
+		for _, vm := range vms {
+			if n := int(vm.way.reads.Swap(0)); n > 0 {
+				total, reader = total+n, vm
+			}
+		}
+		return total, reader
+	}
+	g := NewWithT(t)
+	for _, vm := range vms {
+		g.Eventually(vm.ready, "5s").Should(Equal(http.StatusOK))
+	}
+	var reader *rig
+	g.Eventually(func() bool {
+		reads()
+		time.Sleep(time.Second)
+		var total int
+		total, reader = reads()
+		return total <= 3 && reader != nil
+	}, "10s").Should(BeTrue(), "one VM reads twice a second, the others not at all")
+
+	vms[0].server("s1", ok)
+	for _, vm := range vms {
+		g.Eventually(func() int { return vm.status("/plain/a", "r1") }, "5s").Should(Equal(http.StatusOK))
+	}
+	newer := table(2)
+	newer.Keys = map[string]routes.Account{"other": {Name: "other"}}
+	store.set("config", "main", newer)
+	for _, vm := range vms {
+		g.Eventually(func() int { return vm.status("/plain/a", "r2") }, "1s").Should(Equal(http.StatusUnauthorized))
+	}
+	reader.stop()
+	store.set("config", "main", table(3))
+	for _, vm := range vms {
+		if vm != reader {
+			g.Eventually(func() int { return vm.status("/plain/a", "r3") }, "3s").Should(Equal(http.StatusOK))
+		}
+	}
+}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -106,8 +106,11 @@
 		telemetry.PeerRefused.Fail(p.Log, err, "from", from, "address", address)
 	})
 	server.Handle(talk.gossip.Handler())
-	server.Handle(configv1connect.NewConfigServiceHandler(&configService{keeper: &config.keeper}))
-	config.peers = &configPeers{dialer: dialer, others: talk.others}
+	server.Handle(configv1connect.NewConfigServiceHandler(&configService{keeper: config.keeper}))
+	config.peers = &configPeers{
+		dialer: dialer, self: s.VM, others: talk.others,
+		near: func() []string { return talk.near(s.DataCentre) },
+	}
 	talk.gossip.OnVM(talk.judged)
 	talk.gossip.OnEntry(keyWord, talk.heard)
 	if err := listen(group, server.HTTPServer(), s.Peers); err != nil {
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
+	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	configv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1"
 	"oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1/configv1connect"
@@ -37,6 +38,24 @@
 type proofKeeper struct {
 	mu  sync.Mutex
 	now inForce
+	// newer is closed when the next object is in force.
+	newer chan struct{}
+}
+
+func newProofKeeper() *proofKeeper { return &proofKeeper{newer: make(chan struct{})} }
+
+// wait returns when an object newer than a version is in force, or ctx ends.
+func (k *proofKeeper) wait(ctx context.Context, known uint64) {
+	k.mu.Lock()
+	version, newer := k.now.object.Version, k.newer
+	k.mu.Unlock()
+	if version > known {
+		return
+	}
+	select {
+	case <-newer:
+	case <-ctx.Done():
+	}
 }
 
 func (k *proofKeeper) get() inForce {
@@ -55,6 +74,8 @@
 	}
 	if object.Version > k.now.object.Version {
 		k.now.object = object
+		close(k.newer)
+		k.newer = make(chan struct{})
 	}
 	k.now.provenAt = max(k.now.provenAt, at)
 }
@@ -71,8 +92,17 @@
 	keeper *proofKeeper
 }
 
-// InForce implements configv1connect.ConfigServiceHandler. It answers at once.
-func (s *configService) InForce(_ context.Context, request *connect.Request[configv1.InForceRequest]) (*connect.Response[configv1.InForceResponse], error) {
+// longestWait bounds the wait for something newer.
+const longestWait = 2 * time.Second
+
+// InForce implements configv1connect.ConfigServiceHandler. It waits for something newer
+// as long as it is asked to.
+func (s *configService) InForce(ctx context.Context, request *connect.Request[configv1.InForceRequest]) (*connect.Response[configv1.InForceResponse], error) {
+	if wait := time.Duration(request.Msg.WaitMillis) * time.Millisecond; wait > 0 {
+		waiting, cancel := context.WithTimeout(ctx, min(wait, longestWait))
+		s.keeper.wait(waiting, request.Msg.Known)
+		cancel()
+	}
 	now := s.keeper.get()
 	answer := &configv1.InForceResponse{Release: now.object.Version}
 	if now.provenAt > 0 {
@@ -88,8 +118,58 @@
 // configPeers asks other VMs what is in force.
 type configPeers struct {
 	dialer *peer.Dialer
-	// others lists the VMs that may be asked.
-	others func() []string
+	// self is this VM. others lists the VMs that may be asked, and near those of the
+	// data centre that live, this one included.
+	self         string
+	others, near func() []string
+}
+
+// fanOut is how many VMs of a data centre learn the configuration from one.
+const fanOut = 16
+
+// upstream is the VM from which this one learns the configuration, and how many hops it
+// takes from the one that reads it for the data centre; 0 hops for that one itself. The
+// order of the VMs is the same on all that know the same ones live, and the loss of one
+// moves few.
+func (p *configPeers) upstream() (vm string, hops int) {
+	var vms []lease.VM
+	for _, name := range p.near() {
+		vms = append(vms, lease.VM{Name: name})
+	}
+	ranked := lease.Rank("configuration", "", vms)
+	position := lease.Position(ranked, p.self)
+	if position <= 0 {
+		return "", 0
+	}
+	vm = ranked[(position-1)/fanOut].Name
+	for ; position > 0; position = (position - 1) / fanOut {
+		hops++
+	}
+	return vm, hops
+}
+
+// follow waits at the upstream VM for something newer than what is known, as long as
+// that is given, and hands over what it says. It returns the version in force there and
+// how many hops it took; 0 hops when nothing was said.
+func (p *configPeers) follow(ctx context.Context, known uint64, wait time.Duration, take func(object objects.Object, at time.Duration)) (version uint64, hops int) {
+	vm, hops := p.upstream()
+	if hops == 0 {
+		return 0, 0
+	}
+	sent := bootclock.Now()
+	answer, err := p.call(ctx, vm, wait+peerTimeout, &configv1.InForceRequest{Known: known, WaitMillis: uint32(wait.Milliseconds())})
+	if err != nil || answer.ProofAgeMicros == nil {
+		// The platform is read instead.
+		return 0, 0
+	}
+	take(said(answer, sent))
+	return answer.Release, hops
+}
+
+// said is what a VM says to be in force, and since when it is proven.
+func said(answer *configv1.InForceResponse, sent time.Duration) (objects.Object, time.Duration) {
+	age := time.Duration(*answer.ProofAgeMicros) * time.Microsecond
+	return objects.Object{Version: answer.Release, Value: answer.Value}, sent - age
 }
 
 // ask asks some VMs and hands over what they say: objects and when each of them
@@ -110,15 +190,15 @@
 	for _, vm := range others {
 		go func() {
 			sent := bootclock.Now()
-			answer, err := p.call(ctx, vm, known)
+			answer, err := p.call(ctx, vm, peerTimeout, &configv1.InForceRequest{Known: known})
 			if err != nil || answer.ProofAgeMicros == nil {
 				// The VMs that answer are enough; without one the proof grows old, which
 				// is logged when it is too old.
 				words <- nil
 				return
 			}
-			age := time.Duration(*answer.ProofAgeMicros) * time.Microsecond
-			words <- &word{objects.Object{Version: answer.Release, Value: answer.Value}, sent - age}
+			object, at := said(answer, sent)
+			words <- &word{object, at}
 		}()
 	}
 	for range others {
@@ -128,14 +208,14 @@
 	}
 }
 
-func (p *configPeers) call(ctx context.Context, vm string, known uint64) (*configv1.InForceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+func (p *configPeers) call(ctx context.Context, vm string, limit time.Duration, request *configv1.InForceRequest) (*configv1.InForceResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	client, url, err := p.dialer.Endpoint(vm)
 	if err != nil {
 		return nil, err
 	}
-	answer, err := configv1connect.NewConfigServiceClient(client, url).InForce(ctx, connect.NewRequest(&configv1.InForceRequest{Known: known}))
+	answer, err := configv1connect.NewConfigServiceClient(client, url).InForce(ctx, connect.NewRequest(request))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -239,12 +239,17 @@
 type way struct {
 	*memory
 	cut atomic.Bool
+	// reads counts the reads of the configuration.
+	reads atomic.Int64
 }
 
 func (w *way) Get(ctx context.Context, kind, name string) (objects.Object, error) {
 	if w.cut.Load() {
 		return objects.Object{}, objects.ErrUnavailable
 	}
+	if kind == "config" {
+		w.reads.Add(1)
+	}
 	return w.memory.Get(ctx, kind, name)
 }
 
@@ -253,7 +258,7 @@
 	r := &rig{WithT: NewWithT(t), t: t, store: store, way: &way{memory: store}, ended: make(chan error, 1)}
 	r.settings = edge.Settings{
 		VM: name, DataCentre: "a", Peers: free(t), Host: "127.0.0.1", Callers: free(t), Ready: free(t), Store: "memory",
-		KeyTrust: 2 * time.Second, Grace: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 200, RepeatWindow: 10 * time.Second,
+		KeyTrust: 2 * time.Second, ApplyWithin: time.Second, Grace: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 200, RepeatWindow: 10 * time.Second,
 	}
 	if seed != "" {
 		r.settings.Seeds = []string{seed}
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -30,6 +30,8 @@
 	// KeyTrust is the age of the proof up to which keys are accepted. A key that
 	// was taken away must open nothing later than this.
 	KeyTrust time.Duration
+	// ApplyWithin is how soon a new configuration must be in force.
+	ApplyWithin time.Duration
 	// Grace is the time from a planned stop to the kill.
 	Grace time.Duration
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats of all VMs.
@@ -53,6 +55,7 @@
 		{"address for callers", s.Callers != ""},
 		{"address for the balancer", s.Ready != ""},
 		{"address of the store", s.Store != ""},
+		{"time in which a configuration is in force", s.ApplyWithin > 0},
 		{"grace of a stop", s.Grace > 0},
 		{"window of repeats", s.RepeatWindow > 0},
 	}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -74,11 +74,11 @@
 	return list
 }
 
-// watch starts looking at an attempt. Requests that may not run twice are left
-// to their servers' and callers' time limits.
+// watch starts looking at an attempt. Requests that may not run twice, and services
+// whose servers make no reports, are left to their servers' and callers' time limits.
 func (h *Handler) watch(x *exchange, o *opened) *watchdog {
 	w := &watchdog{h: h, x: x, o: o, heard: time.Now()}
-	if x.route.Repeat == routes.Resumable && h.Patience > 0 {
+	if x.route.Repeat == routes.Resumable && x.service.Engine != nil && h.Patience > 0 {
 		w.timer = time.AfterFunc(h.firstPatience(x), w.look)
 		h.watches.add(w)
 	}
