Keep words, repeats and watches right for many VMs; end the process when a duty fails

Causes: (1) on a site of 85 VMs each VM took in 283 words a second, and after a loss of power each would take a twelfth of the slack of repeats until it knew the others: six times the bound together. (2) A watch of 2 s was right for a contact time of 3 s only. (3) When a duty failed by itself the planned stop went on waiting for its signal, so the process never ended.

Changes: a word each 25 ms times the number of VMs, 0.3 s at least; the slack is divided by the live VMs that the gossip knows, by 100 for 3 s while it knows none; a watch is as long as the contact time less a second; the stop is interrupted by the group.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -12,8 +12,10 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
-	// VMs is over how many VMs the slack is divided at least.
-	VMs int
+	// VMs is over how many VMs the slack is divided at least, and UnknownVMs over how
+	// many while it isn't known who there is, for UnknownFor after the first request.
+	VMs, UnknownVMs int
+	UnknownFor      time.Duration
 }
 
 // The parts of the bound.
@@ -44,6 +46,10 @@
 	services map[string]*window
 	// others is what other VMs told.
 	others map[string]told
+	// live is how many VMs there are, this one included. 0 is not known.
+	live int
+	// begun is when the first request came.
+	begun time.Duration
 }
 
 type told struct {
@@ -79,6 +85,9 @@
 
 // Request counts a request for a service.
 func (b *Budget) Request(now time.Duration, service string) {
+	if b.begun == 0 {
+		b.begun = now
+	}
 	w := b.window(now, service)
 	w.requests[w.at%buckets]++
 }
@@ -95,7 +104,7 @@
 // shares of all VMs together are within the bound whatever each of them knows.
 func (b *Budget) Repeat(now time.Duration, service string, part float64) bool {
 	own := b.own(now, service)
-	share := b.bound(own.Requests) - b.options.Slack + b.options.Slack/float64(b.vms())
+	share := b.bound(own.Requests) - b.options.Slack + b.options.Slack/float64(b.vms(now))
 	all, fresh := b.all(now, service, own)
 	next := float64(own.Repeats + 1)
 	allowed := next <= part*ownPart*share
@@ -116,7 +125,19 @@
 	return b.options.Ratio*float64(requests) + b.options.Slack
 }
 
-func (b *Budget) vms() int { return max(b.options.VMs, len(b.others)+1, 1) }
+// vms is over how many VMs the slack is divided. After a loss of power all VMs start at
+// the same moment and know of nobody: if each took a large share then, together they
+// would go far beyond the bound.
+func (b *Budget) vms(now time.Duration) int {
+	known := max(b.options.VMs, len(b.others)+1, b.live, 1)
+	if b.live == 0 && now < b.begun+b.options.UnknownFor {
+		return max(known, b.options.UnknownVMs)
+	}
+	return known
+}
+
+// Live takes how many VMs there are, this one included.
+func (b *Budget) Live(vms int) { b.live = vms }
 
 // all adds up what the VMs did. It is not fresh when some VM was silent lately.
 func (b *Budget) all(now time.Duration, service string, own Count) (sum Count, fresh bool) {
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -130,3 +130,28 @@
 		}
 	})
 }
+
+// Symptom: repeats far above the bound right after a loss of power. Sequence: 85 VMs
+// start at the same moment; none knows another one yet. Cause: each takes the share of
+// a small deployment.
+func TestVMsThatKnowNobodyTakeSmallShares(t *testing.T) {
+	g := NewWithT(t)
+	options := budget.Options{Ratio: 0.2, Slack: 354, Window: 10 * time.Second, VMs: 12, UnknownVMs: 100, UnknownFor: 3 * time.Second}
+	sum := 0
+	for range 85 {
+		b := budget.New(options)
+		b.Request(time.Second, "llm")
+		for b.Repeat(time.Second, "llm", 1) {
+			sum++
+		}
+	}
+	g.Expect(sum).To(BeNumerically("<=", 354))
+	b := budget.New(options)
+	b.Request(time.Second, "llm")
+	b.Live(9)
+	known := 0
+	for b.Repeat(time.Second, "llm", 1) {
+		known++
+	}
+	g.Expect(known).To(BeNumerically(">", 20), "a VM that knows of eight others has its share")
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"runtime/debug"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/oklog/run"
@@ -51,8 +52,12 @@
 	// collectAt is the growth in per cent at which the collector runs: the heap is
 	// a few MB, and memory costs more here than the processor time.
 	collectAt = 50
-	// mostVMs divides the slack of repeats while the number of VMs isn't known.
-	mostVMs = 12
+	// fewestVMs divides the slack of repeats at least, and unknownVMs while the number of
+	// VMs isn't known.
+	fewestVMs  = 12
+	unknownVMs = 100
+	// unknownFor is how long VMs take at most to know one another after a start.
+	unknownFor = 3 * time.Second
 )
 
 // Run runs the process until ctx ends and its planned stop is over.
@@ -64,8 +69,11 @@
 		debug.SetMemoryLimit(int64(memoryPart * s.MemoryMB * (1 << 20)))
 	}
 	debug.SetGCPercent(collectAt)
-	retries := budget.New(budget.Options{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, VMs: mostVMs})
+	retries := budget.New(budget.Options{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, VMs: fewestVMs, UnknownVMs: unknownVMs, UnknownFor: unknownFor})
 	dispatcher := relay.NewDispatcher(bootclock.Now, retries)
+	if len(s.Seeds) == 0 {
+		dispatcher.Live(1)
+	}
 	config := newConfigReader(p, dispatcher)
 	stop := newStopper(p)
 	handler := relay.New(relay.Options{
@@ -92,7 +100,7 @@
 	if err := addServers(&group, p, handler, config, stop); err != nil {
 		return err
 	}
-	group.Add(func() error { return stop.wait(ctx, handler) }, func(error) {})
+	group.Add(func() error { return stop.wait(ctx, handler) }, stop.interrupt)
 	telemetry.VMStarted.Log(p.Log, "vm", s.VM, "dataCentre", s.DataCentre, "callers", s.Callers)
 	err := group.Run()
 	telemetry.VMDrained.Log(p.Log, "vm", s.VM)
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -32,6 +32,9 @@
 	// tellEvery is the time between two words on this VM's load and repeats. The
 	// others know it after two or three rounds.
 	tellEvery = 300 * time.Millisecond
+	// tellPerVM makes that time longer with the number of VMs, so that a VM hears no
+	// more than 40 words a second: taking in one costs some 50 microseconds.
+	tellPerVM = 25 * time.Millisecond
 	// keyWord is the entry that each VM writes.
 	keyWord = "word"
 	// loadUnit is the unit in which loads are told, in tokens times layers: an eighth
@@ -144,11 +147,9 @@
 
 // run tells what this VM does.
 func (t *peers) run(ctx context.Context) error {
-	ticker := time.NewTicker(tellEvery)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-time.After(t.pace()):
 			t.tell()
 		case <-ctx.Done():
 			return ctx.Err()
@@ -156,15 +157,23 @@
 	}
 }
 
+// pace is the time between two words.
+func (t *peers) pace() time.Duration {
+	return max(tellEvery, time.Duration(len(t.others())+1)*tellPerVM)
+}
+
 func (t *peers) tell() {
 	t.telling.Lock()
 	defer t.telling.Unlock()
 	t.count++
+	if others := len(t.others()); others > 0 {
+		t.dispatcher.Live(others + 1)
+	}
 	now := word{Count: t.count, Loads: make(map[string]int), Repeats: t.dispatcher.Repeats()}
 	var news []backends.Departure
 	t.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
 		news = fleet.News()
-		now.Slow = fleet.Paces(at, 2*tellEvery)
+		now.Slow = fleet.Paces(at, 2*t.pace())
 		for id, memory := range fleet.Loads() {
 			now.Loads[id] = int(memory / loadUnit)
 		}
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -258,7 +258,7 @@
 	r := &rig{WithT: NewWithT(t), t: t, store: store, way: &way{memory: store}, ended: make(chan error, 1)}
 	r.settings = edge.Settings{
 		VM: name, DataCentre: "a", Peers: free(t), Host: "127.0.0.1", Callers: free(t), Ready: free(t), Store: "memory",
-		KeyTrust: 2 * time.Second, ApplyWithin: time.Second, Grace: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 200, RepeatWindow: 10 * time.Second,
+		KeyTrust: 2 * time.Second, ApplyWithin: time.Second, Contact: 3 * time.Second, Grace: 8 * time.Second, RepeatRatio: 0.2, RepeatSlack: 200, RepeatWindow: 10 * time.Second,
 	}
 	if seed != "" {
 		r.settings.Seeds = []string{seed}
@@ -269,7 +269,7 @@
 		r.ended <- edge.Run(ctx, edge.Parts{
 			Log: logr.Discard(), Settings: r.settings,
 			ReadAgain: func() (edge.Settings, error) { return r.settings, nil },
-			Store:     objects.NewClientOn(r.way, edge.StoreOptions()...),
+			Store:     objects.NewClientOn(r.way, edge.StoreOptions(r.settings)...),
 			Config:    edge.Source{Kind: "config", Name: "main"}, Servers: edge.Source{Kind: "servers"},
 			Decode: decoder{}, Requests: platform.Requests{}, Engines: noEngines{}, HealthPath: "/ready",
 		})
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -30,8 +30,11 @@
 	// KeyTrust is the age of the proof up to which keys are accepted. A key that
 	// was taken away must open nothing later than this.
 	KeyTrust time.Duration
-	// ApplyWithin is how soon a new configuration must be in force.
+	// ApplyWithin is how soon a new configuration must be in force. 2 s when it is 0.
 	ApplyWithin time.Duration
+	// Contact is how long after a disturbance a VM must be up to date again. 3 s when it
+	// is 0.
+	Contact time.Duration
 	// Grace is the time from a planned stop to the kill.
 	Grace time.Duration
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats of all VMs.
@@ -41,6 +44,23 @@
 	OperationsPort int
 }
 
+// The defaults of times that a deployment needs not set.
+const (
+	defaultApplyWithin = 2 * time.Second
+	defaultContact     = 3 * time.Second
+)
+
+// WithDefaults sets what is left out.
+func (s Settings) WithDefaults() Settings {
+	if s.ApplyWithin <= 0 {
+		s.ApplyWithin = defaultApplyWithin
+	}
+	if s.Contact <= 0 {
+		s.Contact = defaultContact
+	}
+	return s
+}
+
 // ErrSettings marks settings that can't be used.
 var ErrSettings = eris.New("setting is missing: give it")
 
@@ -55,7 +75,6 @@
 		{"address for callers", s.Callers != ""},
 		{"address for the balancer", s.Ready != ""},
 		{"address of the store", s.Store != ""},
-		{"time in which a configuration is in force", s.ApplyWithin > 0},
 		{"grace of a stop", s.Grace > 0},
 		{"window of repeats", s.RepeatWindow > 0},
 	}
@@ -75,10 +94,13 @@
 	// callTimeout bounds a call of the store, which answers in 4 ms and, on a bad
 	// day, a hundred times later.
 	callTimeout = 900 * time.Millisecond
-	// bookmark is how long a watch waits when nothing changes. Every call is paid
-	// for; a watch that went silent is found 0.7 s later, within the 3 s in which
-	// operators expect a VM to be in touch again.
-	bookmark = 2 * time.Second
+	// catchUp is what is left of the time in which a VM must be up to date again when
+	// a watch ends without changes: a watch that went silent is found 0.7 s later, and
+	// the list is read then. Every call is paid for, so a watch is as long as that
+	// allows.
+	catchUp = time.Second
+	// shortestBookmark bounds the time of a watch from below.
+	shortestBookmark = 500 * time.Millisecond
 	// gather is how long changes of servers' entries are gathered after the first: they
 	// come in bursts, and operators expect each to be known within two seconds. Half of
 	// the calls on a day with trouble were answers with one change.
@@ -92,10 +114,10 @@
 )
 
 // StoreOptions are the options of the store's client.
-func StoreOptions() []objects.Option {
+func StoreOptions(s Settings) []objects.Option {
 	return []objects.Option{
 		objects.WithCallTimeout(callTimeout),
-		objects.WithBookmark(bookmark),
+		objects.WithBookmark(max(s.Contact-catchUp, shortestBookmark)),
 		objects.WithGather(gather),
 		objects.WithLongestBackoff(longestBackoff),
 		objects.WithBudget(callsPerSecond, callBurst),
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -30,10 +30,12 @@
 	begun    atomic.Bool
 	// leave tells the other VMs of the stop.
 	leave func()
+	// failed is closed when a duty of the process has failed, which ends the others.
+	failed chan struct{}
 }
 
 func newStopper(p Parts) *stopper {
-	return &stopper{log: p.Log, settings: p.current.get, leave: func() {}}
+	return &stopper{log: p.Log, settings: p.current.get, leave: func() {}, failed: make(chan struct{})}
 }
 
 func (s *stopper) stopping() bool { return s.begun.Load() }
@@ -61,9 +63,19 @@
 // Unwrap lets http.ResponseController find the writer's other abilities.
 func (w *closingWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
-// wait returns when ctx has ended and the stop is over.
+// interrupt says that a duty has failed. The servers are closed then, so nothing is
+// left to stop for: a process that waited on for its signal would do nothing for
+// callers and would not be started again.
+func (s *stopper) interrupt(error) { close(s.failed) }
+
+// wait returns when ctx has ended and the stop is over, or when a duty has failed.
 func (s *stopper) wait(ctx context.Context, handler *relay.Handler) error {
-	<-ctx.Done()
+	select {
+	case <-ctx.Done():
+	case <-s.failed:
+		s.begun.Store(true)
+		return nil
+	}
 	s.begun.Store(true)
 	s.leave()
 	telemetry.VMStopping.Log(s.log, "inFlight", handler.InFlight())
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -108,6 +108,13 @@
 	return d.budget.Repeat(d.now(), service, part)
 }
 
+// Live takes how many VMs there are, this one included.
+func (d *Dispatcher) Live(vms int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.Live(vms)
+}
+
 // Repeats are this VM's counts of requests and repeats, for the other VMs.
 func (d *Dispatcher) Repeats() map[string]budget.Count {
 	d.mu.Lock()
