Name the layers that lack a holder in a refusal's line; doubt servers silent before an outage

Causes: the text which layers lack a holder was made at each look, every 20 ms, and dropped; on-call wants it. A server that fell silent before an outage of the store was waited for until the grace for lapsed entries was over.

Tests: TestAServerThatFellSilentBeforeAnOutageIsNotWaitedFor, and the last look of TestAFullPathIsToldFromNone.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -128,13 +128,9 @@
 // or as a burst. Each VM finds the same path the cheapest and sees its own requests
 // only; together they queue up there for a second while other paths idle.
 func (f *Fleet) expected(k *known) float64 {
-	return f.load(k) + max(k.memory-k.told, 0)*float64(min(len(f.others), alike))
+	return f.load(k) + max(k.memory-k.told, 0)*float64(len(f.others))
 }
 
-// alike is for how many other VMs at most this one's own requests are taken as an
-// example: of many VMs each has few, and one more or less says little of the others.
-const alike = 8
-
 // Outage says that the platform does not answer this VM.
 func (f *Fleet) Outage() { f.outage = true }
 
--- a/internal/core/backends/backends_test.go
+++ b/internal/core/backends/backends_test.go
@@ -102,7 +102,9 @@
 	f.Remove(0, "s2", 1)
 	_, err = f.Path(0, service(), request())
 	g.Expect(errors.Is(err, backends.ErrNoServer)).To(BeTrue())
-	g.Expect(err.Error()).To(ContainSubstring("[40,80)"))
+	_, err = f.Path(0, service(), forced)
+	g.Expect(errors.Is(err, backends.ErrNoServer)).To(BeTrue())
+	g.Expect(err.Error()).To(ContainSubstring("[40,80)"), "the last look says which layers")
 }
 
 // Symptom: requests go to a server that has stopped. Sequence: it drains, and an
@@ -178,6 +180,28 @@
 	g.Expect(f.Slow(5*time.Second, time.Second)).To(BeEmpty())
 }
 
+// Symptom: a range without a holder is not covered for two seconds after the platform's
+// outage. Sequence: a server falls silent; the platform is away until its entry has
+// lapsed; then lapsed entries are given time to come back. Cause: what other servers
+// found before is forgotten.
+func TestAServerThatFellSilentBeforeAnOutageIsNotWaitedFor(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Replace(time.Second, []backends.Server{server("s1", "a", "fast", 0, 40), server("s2", "a", "fast", 40, 80)}, 1)
+	f.Dark(2*time.Second, "s1", 4*time.Second)
+	g.Expect(f.IsDark(3*time.Second, "s1")).To(BeTrue())
+	f.Outage()
+	g.Expect(f.IsDark(8*time.Second, "s1")).To(BeFalse(), "its entry is there as far as this VM knows")
+	f.Back(12 * time.Second)
+	f.Replace(12*time.Second, nil, 9)
+	g.Expect(f.IsDark(12*time.Second, "s1")).To(BeTrue())
+	g.Expect(f.IsDark(12*time.Second, "s2")).To(BeFalse())
+	again := server("s1", "a", "fast", 0, 40)
+	again.Revision = 12
+	f.Put(13*time.Second, again)
+	g.Expect(f.IsDark(13*time.Second, "s1")).To(BeFalse(), "it has written its entry again")
+}
+
 // Symptom: a server counts as slow for ever. Sequence: two VMs tell one another what
 // each heard. Cause: a word that goes round looks new each time.
 func TestAPaceThatWasHeardIsNotPassedOn(t *testing.T) {
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -114,6 +114,9 @@
 		}
 		return Choice{First: first.Server, Path: path, Version: version}, nil
 	}
+	if !request.Force {
+		return Choice{}, ErrNoServer // it is looked again, and this is not told anybody
+	}
 	return Choice{}, fmt.Errorf("%w: layers %s of service %s have no holder", ErrNoServer, f.missing(now, service, request), service.Name)
 }
 
--- a/internal/core/backends/seen.go
+++ b/internal/core/backends/seen.go
@@ -14,7 +14,7 @@
 	slowFrom = 1.3
 )
 
-// Dark says that another server waits for this one in vain. Until then it holds no
+// Dark says that another server waits for this one in vain. For a span it holds no
 // layers as far as placement is concerned.
 func (f *Fleet) Dark(now time.Duration, id string, span time.Duration) {
 	if k, ok := f.servers[id]; ok {
@@ -22,10 +22,19 @@
 	}
 }
 
-// IsDark tells whether a server counts as lost.
+// doubtKept is how long a server that fell silent is in doubt while its entry is
+// missing: longer than most outages of the platform.
+const doubtKept = 15 * time.Second
+
+// IsDark tells whether a server counts as lost: others wait for it in vain, or did so
+// before the platform's outage in which its entry lapsed. Of the entries that lapse in
+// an outage most come back; this one has no reason to.
 func (f *Fleet) IsDark(now time.Duration, id string) bool {
 	k, ok := f.servers[id]
-	return ok && now < k.darkUntil
+	if !ok {
+		return false
+	}
+	return now < k.darkUntil || (k.missing > 0 && k.darkUntil > 0 && now < k.darkUntil+doubtKept)
 }
 
 // Paced notes how many times as long as usual a server takes, by its own word to this
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -92,6 +92,7 @@
 			return &opened{choice: choice, load: load, ctx: ctx, cancel: cancel}, nil
 		}
 		if request.Force {
+			x.detail = err.Error()
 			return nil, err
 		}
 		select {
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -102,6 +102,8 @@
 	sends, refusals int
 	// mayHaveRun says that a server may have begun.
 	mayHaveRun bool
+	// detail says why no server was found, for the line of the refusal.
+	detail string
 	// events counts the events delivered; after is the ID of the last one.
 	events int
 	after  string
@@ -248,7 +250,7 @@
 		return
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_refused_total{reason=%q}", r.reason)).Inc()
-	telemetry.RelayRefused.Log(h.Log, append(x.fields(), "reason", r.reason, "execution", r.execution, "status", r.status)...)
+	telemetry.RelayRefused.Log(h.Log, append(x.fields(), "reason", r.reason, "execution", r.execution, "status", r.status, "detail", x.detail)...)
 }
 
 // fields are what each line about a request has.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -65,7 +65,7 @@
 	if h.left(x, context.Cause(x.ctx)) {
 		panic(http.ErrAbortHandler)
 	}
-	telemetry.RelayCut.Log(h.Log, append(x.fields(), "reason", reason, "after", x.after, "cause", telemetry.Cause(context.Cause(x.ctx)))...)
+	telemetry.RelayCut.Log(h.Log, append(x.fields(), "reason", reason, "detail", x.detail, "after", x.after, "cause", telemetry.Cause(context.Cause(x.ctx)))...)
 	metrics.GetOrCreateCounter("oleandershunt_relay_cut_total").Inc()
 	panic(http.ErrAbortHandler)
 }
