--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -36,10 +36,10 @@
 //   - other empty servers take the layers that are weakest;
 //   - a server that can be spared helps the weakest layers where that gains much.
 //
-// What went wrong before: each server that came or went gave another layout of the
-// whole data centre, and a data centre that worked moved all its servers at once
-// while another was without a layer. One notices many orders within a second and
-// servers that refuse for want of room for ten seconds.
+// What can go wrong: each server that comes or goes gives another layout of the whole
+// data centre. If all servers moved to that, one that works would be out of order while
+// another lacks a layer. One notices many orders within a second and servers that
+// refuse for want of room for ten seconds.
 func Plan(engine *routes.Engine, servers []Server) []Order {
 	if orders, ok := initial(engine, servers); ok {
 		return orders
@@ -99,31 +99,6 @@
 	return counts
 }
 
-// strength is how much a server adds to each layer of a range: the tokens of
-// requests that it has room for, by how slowly it works them off.
-func (p *plan) strength(s Server, held api.Layers) float64 {
-	if held.Len() == 0 {
-		return 0
-	}
-	return p.engine.Room(s.Card, held.Len()) / float64(held.Len()) / max(s.Card.Pace, 0.1) / max(s.Pace, 1)
-}
-
-// layer is what the servers that hold it make of it.
-type layer struct {
-	strength float64
-	copies   int
-}
-
-// layers are what the servers make of each layer. The place of a lost server is kept
-// for it.
-func (p *plan) layers() []layer {
-	layers := make([]layer, p.engine.Layers)
-	for _, s := range p.servers {
-		add(layers, s.planned(), layer{p.strength(s, s.planned()), 1})
-	}
-	return layers
-}
-
 // give orders a range. The server counts as loading it.
 func (p *plan) give(at int, layers api.Layers) {
 	p.orders = append(p.orders, Order{Server: p.servers[at].ID, Layers: layers})
@@ -211,26 +186,6 @@
 	return p.weakest(longest, func(window api.Layers) bool { return window.From <= gap.From && window.To >= gap.To })
 }
 
-// weakest is the window of a length that most needs another server.
-func (p *plan) weakest(length int, fits func(api.Layers) bool) api.Layers {
-	layers := p.layers()
-	length = min(length, len(layers))
-	var best api.Layers
-	most := -1.0
-	for from := 0; from+length <= len(layers); from++ {
-		window := api.Layers{From: from, To: from + length}
-		if !fits(window) {
-			continue
-		}
-		if sum := need(layers[window.From:window.To]); sum > most {
-			best, most = window, sum
-		}
-	}
-	return best
-}
-
-func anyWindow(api.Layers) bool { return true }
-
 // fillEmpty gives the empty servers that are left the weakest layers, the fastest
 // server first.
 func (p *plan) fillEmpty() {
@@ -290,24 +245,3 @@
 		p.give(at, window)
 	}
 }
-
-// need is how much layers need another server: the weaker, the more, without
-// bounds. One copy counts for half: with its server the data centre stands still.
-func need(layers []layer) float64 {
-	sum := 0.0
-	for _, l := range layers {
-		strength := l.strength
-		if l.copies == 1 {
-			strength /= 2
-		}
-		sum += 1 / ((1 + strength) * (1 + strength))
-	}
-	return sum
-}
-
-func add(layers []layer, held api.Layers, by layer) {
-	for at := max(held.From, 0); at < min(held.To, len(layers)); at++ {
-		layers[at].strength += by.strength
-		layers[at].copies += by.copies
-	}
-}
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -2,29 +2,17 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
-	"oleandershunt.example/oleandershunt/internal/core/lease"
-	"oleandershunt.example/oleandershunt/internal/peer"
 	configv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1"
 	"oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1/configv1connect"
 	objects "oleandershunt.example/oleandershunt/internal/platform"
 )
 
-// The figures of asking other VMs for the configuration.
-const (
-	// peersAsked is how many VMs are asked at once: one of them may be as cut off
-	// as this one.
-	peersAsked = 2
-	// peerTimeout bounds the question, whose answer takes a millisecond or two.
-	peerTimeout = 300 * time.Millisecond
-)
-
 // inForce is the configuration in force and the proof that it is the newest.
 type inForce struct {
 	object objects.Object
@@ -114,110 +102,3 @@
 	}
 	return connect.NewResponse(answer), nil
 }
-
-// configPeers asks other VMs what is in force.
-type configPeers struct {
-	dialer *peer.Dialer
-	// self is this VM. others lists the VMs that may be asked, and near those of the
-	// data centre that live, this one included.
-	self         string
-	others, near func() []string
-}
-
-// fanOut is how many VMs of a data centre learn the configuration from one.
-const fanOut = 16
-
-// upstream is the VM from which this one learns the configuration, and how many hops it
-// takes from the one that reads it for the data centre; 0 hops for that one itself. The
-// order of the VMs is the same on all that know the same ones live, and the loss of one
-// moves few.
-func (p *configPeers) upstream() (vm string, hops int) {
-	var vms []lease.VM
-	for _, name := range p.near() {
-		vms = append(vms, lease.VM{Name: name})
-	}
-	ranked := lease.Rank("configuration", "", vms)
-	position := lease.Position(ranked, p.self)
-	if position <= 0 {
-		return "", 0
-	}
-	vm = ranked[(position-1)/fanOut].Name
-	for ; position > 0; position = (position - 1) / fanOut {
-		hops++
-	}
-	return vm, hops
-}
-
-// follow waits at the upstream VM for something newer than what is known, as long as
-// that is given, and hands over what it says. It returns the version in force there and
-// how many hops it took; 0 hops when nothing was said.
-func (p *configPeers) follow(ctx context.Context, known uint64, wait time.Duration, take func(object objects.Object, at time.Duration)) (version uint64, hops int) {
-	vm, hops := p.upstream()
-	if hops == 0 {
-		return 0, 0
-	}
-	sent := bootclock.Now()
-	answer, err := p.call(ctx, vm, wait+peerTimeout, &configv1.InForceRequest{Known: known, WaitMillis: uint32(wait.Milliseconds())})
-	if err != nil || answer.ProofAgeMicros == nil {
-		// The platform is read instead.
-		return 0, 0
-	}
-	take(said(answer, sent))
-	return answer.Release, hops
-}
-
-// said is what a VM says to be in force, and since when it is proven.
-func said(answer *configv1.InForceResponse, sent time.Duration) (objects.Object, time.Duration) {
-	age := time.Duration(*answer.ProofAgeMicros) * time.Microsecond
-	return objects.Object{Version: answer.Release, Value: answer.Value}, sent - age
-}
-
-// ask asks some VMs and hands over what they say: objects and when each of them
-// was the newest. An object without a value is the one that is known already.
-//
-// The age counts from the moment at which the question was sent, which is before
-// the one at which the other VM worked it out. So neither the way nor a pause of
-// either VM makes a proof look newer than it is.
-func (p *configPeers) ask(ctx context.Context, known uint64, take func(object objects.Object, at time.Duration)) {
-	type word struct {
-		object objects.Object
-		at     time.Duration
-	}
-	others := p.others()
-	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
-	others = others[:min(len(others), peersAsked)]
-	words := make(chan *word, len(others))
-	for _, vm := range others {
-		go func() {
-			sent := bootclock.Now()
-			answer, err := p.call(ctx, vm, peerTimeout, &configv1.InForceRequest{Known: known})
-			if err != nil || answer.ProofAgeMicros == nil {
-				// The VMs that answer are enough; without one the proof grows old, which
-				// is logged when it is too old.
-				words <- nil
-				return
-			}
-			object, at := said(answer, sent)
-			words <- &word{object, at}
-		}()
-	}
-	for range others {
-		if w := <-words; w != nil {
-			take(w.object, w.at)
-		}
-	}
-}
-
-func (p *configPeers) call(ctx context.Context, vm string, limit time.Duration, request *configv1.InForceRequest) (*configv1.InForceResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
-	client, url, err := p.dialer.Endpoint(vm)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := configv1connect.NewConfigServiceClient(client, url).InForce(ctx, connect.NewRequest(request))
-	if err != nil {
-		return nil, err
-	}
-	return answer.Msg, nil
-}
