--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -57,10 +57,10 @@
 	running map[poison.Body]int
 }
 
+// told is a finding that waits to be told, and when it was made, by bootclock.
 type told struct {
 	finding poison.Finding
-	// suspected findings are not judged yet.
-	at time.Duration
+	at      time.Duration
 }
 
 // suspectTime is how long a crash is held against a body that isn't condemned: callers
