--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -137,9 +137,9 @@
 // them, else the one that is missed least where it is. -1 when there is none.
 func (p *plan) spare(gap api.Layers) int {
 	best, least := -1, math.Inf(1)
-	layers := p.layers()
+	layers, counts := p.layers(), p.counts(soon)
 	for i, s := range p.servers {
-		missed, ok := p.missed(s, layers)
+		missed, ok := p.missed(s, layers, counts)
 		if !ok || p.engine.Fits(s.Card) == 0 {
 			continue
 		}
@@ -157,11 +157,10 @@
 
 // missed is the greatest part that a server has in the strength of a layer. False
 // when it can't be had: it moves already, is lost, or holds a last copy.
-func (p *plan) missed(s Server, layers []layer) (float64, bool) {
+func (p *plan) missed(s Server, layers []layer, counts []int) (float64, bool) {
 	if s.Lost || s.Loading {
 		return 0, false
 	}
-	counts := p.counts(soon)
 	part, each := 0.0, p.strength(s, s.Holds)
 	for at := max(s.Holds.From, 0); at < min(s.Holds.To, len(counts)); at++ {
 		if counts[at] < 2 {
@@ -226,10 +225,10 @@
 // improve moves the server that is missed least to the weakest layers, when they
 // gain much by it.
 func (p *plan) improve() {
-	layers := p.layers()
+	layers, counts := p.layers(), p.counts(soon)
 	at, least := -1, expendable
 	for i, s := range p.servers {
-		if part, ok := p.missed(s, layers); ok && part < least {
+		if part, ok := p.missed(s, layers, counts); ok && part < least {
 			at, least = i, part
 		}
 	}
--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -71,14 +71,15 @@
 		// The platform is read instead.
 		return 0, 0
 	}
-	take(said(answer, sent))
+	word := said(answer, sent)
+	take(word.object, word.provenAt)
 	return answer.Release, hops
 }
 
 // said is what a VM says to be in force, and since when it is proven.
-func said(answer *configv1.InForceResponse, sent time.Duration) (objects.Object, time.Duration) {
+func said(answer *configv1.InForceResponse, sent time.Duration) inForce {
 	age := time.Duration(*answer.ProofAgeMicros) * time.Microsecond
-	return objects.Object{Version: answer.Release, Value: answer.Value}, sent - age
+	return inForce{object: objects.Object{Version: answer.Release, Value: answer.Value}, provenAt: sent - age}
 }
 
 // ask asks some VMs and hands over what they say: objects and when each of them
@@ -88,14 +89,10 @@
 // the one at which the other VM worked it out. So neither the way nor a pause of
 // either VM makes a proof look newer than it is.
 func (p *configPeers) ask(ctx context.Context, known uint64, take func(object objects.Object, at time.Duration)) {
-	type word struct {
-		object objects.Object
-		at     time.Duration
-	}
 	others := p.others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	others = others[:min(len(others), peersAsked)]
-	words := make(chan *word, len(others))
+	words := make(chan *inForce, len(others))
 	for _, vm := range others {
 		go func() {
 			sent := bootclock.Now()
@@ -106,13 +103,13 @@
 				words <- nil
 				return
 			}
-			object, at := said(answer, sent)
-			words <- &word{object, at}
+			word := said(answer, sent)
+			words <- &word
 		}()
 	}
 	for range others {
-		if w := <-words; w != nil {
-			take(w.object, w.at)
+		if word := <-words; word != nil {
+			take(word.object, word.provenAt)
 		}
 	}
 }
--- a/internal/edge/relay_test.go
+++ b/internal/edge/relay_test.go
@@ -111,13 +111,7 @@
 	}
 	r.server("s1", serve)
 	r.server("s2", serve)
-	var response *http.Response
-	r.Eventually(func() int {
-		var err error
-		response, err = r.call("/stream/a", "r1")
-		r.Expect(err).NotTo(HaveOccurred())
-		return response.StatusCode
-	}, "5s").Should(Equal(http.StatusOK))
+	response := r.answered("/stream/a", "r1")
 	body, err := io.ReadAll(response.Body)
 	r.Expect(err).NotTo(HaveOccurred())
 	r.Expect(string(body)).To(Equal(event(1) + event(2) + event(3) + event(4)))
@@ -133,13 +127,7 @@
 		w.(http.Flusher).Flush()
 		reset(w)
 	})
-	var response *http.Response
-	r.Eventually(func() int {
-		var err error
-		response, err = r.call("/stream/a", "r1")
-		r.Expect(err).NotTo(HaveOccurred())
-		return response.StatusCode
-	}, "5s").Should(Equal(http.StatusOK))
+	response := r.answered("/stream/a", "r1")
 	_, err := io.ReadAll(response.Body)
 	r.Expect(err).To(HaveOccurred())
 }
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -307,6 +307,18 @@
 	return http.DefaultClient.Do(request)
 }
 
+// answered sends a request until it is answered well.
+func (r *rig) answered(path, id string) *http.Response {
+	var response *http.Response
+	r.Eventually(func() int {
+		var err error
+		response, err = r.call(path, id)
+		r.Expect(err).NotTo(HaveOccurred())
+		return response.StatusCode
+	}, "5s").Should(Equal(http.StatusOK))
+	return response
+}
+
 // status is a request's status; 0 without an answer.
 func (r *rig) status(path, id string) int {
 	response, err := r.call(path, id)
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -52,17 +52,12 @@
 type suspects struct {
 	mu    sync.Mutex
 	table *poison.Table
-	news  []told
+	// news are the findings that wait to be told to the other VMs.
+	news []poison.Finding
 	// running counts the requests of each body that this VM has under way.
 	running map[poison.Body]int
 }
 
-// told is a finding that waits to be told, and when it was made, by bootclock.
-type told struct {
-	finding poison.Finding
-	at      time.Duration
-}
-
 // suspectTime is how long a crash is held against a body that isn't condemned: callers
 // come back within it, and what ran on two servers by chance is not refused for long.
 const suspectTime = 30 * time.Second
@@ -132,7 +127,7 @@
 
 func (s *suspects) tell(finding poison.Finding) {
 	if len(s.news) < newsKept {
-		s.news = append(s.news, told{finding: finding, at: finding.At})
+		s.news = append(s.news, finding)
 	}
 }
 
@@ -188,11 +183,10 @@
 	defer h.suspects.mu.Unlock()
 	now := bootclock.Now()
 	var list []Finding
-	for _, news := range h.suspects.news {
-		f := news.finding
+	for _, f := range h.suspects.news {
 		list = append(list, Finding{
 			Account: f.Account, Path: f.Pipeline, Hash: f.Hash, Crashes: f.Crashes, Condemned: f.Condemned, Suspected: f.Suspected,
-			Server: f.Server, Process: f.Incarnation, AgeMS: (now - news.at).Milliseconds(),
+			Server: f.Server, Process: f.Incarnation, AgeMS: (now - f.At).Milliseconds(),
 		})
 	}
 	h.suspects.news = nil
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -118,16 +118,21 @@
 
 func (w *watchdog) progress() {
 	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.heard = time.Now()
-	w.mu.Unlock()
-	w.again(w.h.Patience)
+	w.lookAfter(w.h.Patience)
 }
 
 func (w *watchdog) again(after time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lookAfter(after)
+}
+
+// lookAfter must be called with the lock held.
+func (w *watchdog) lookAfter(span time.Duration) {
 	if w.timer != nil && !w.ended {
-		w.timer.Reset(after)
+		w.timer.Reset(span)
 	}
 }
 
