Tell the lives of a server apart; leave out entries of other writers; decide failed orders anew

Cause: a server may start again under its name. What was believed of it (load, pace, suspicion, departure, orders) was kept by name. Entries of other writers were taken as they came: without state or address, of unknown kinds (pace 0, so the cheapest), or one object that could not be read made a whole list unreadable. Change: an ID names one life (name and start); messages to servers carry the name. Entries are checked whole; an entry of an unknown service ends no other server. A failed order frees its server after 0.4 to 3.2 s.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -16,8 +16,13 @@
 
 // Server is a process of a backend server, as it registered itself.
 type Server struct {
-	// ID names the process. A restart has another.
-	ID         string
+	// ID names one life of the process: a restart has another.
+	ID string
+	// Name is the name of its entry, which servers and the platform go by. A restart may
+	// keep it. Empty is the ID.
+	Name string
+	// Started is when the process started, in Unix milliseconds. 0 where it doesn't say.
+	Started    uint64
 	Service    string
 	Address    string
 	DataCentre string
@@ -74,6 +79,8 @@
 // Fleet is the servers that are known. The zero value isn't ready; use New.
 type Fleet struct {
 	servers map[string]*known
+	// services are those of the configuration in force.
+	services map[string]bool
 	// left are servers that were seen to leave. What could go wrong without it: an
 	// old list or a late event shows one as ready, and it gets requests while it
 	// stops.
@@ -93,6 +100,14 @@
 	return &Fleet{servers: make(map[string]*known), left: make(map[string]departure), others: make(map[string]map[string]float64)}
 }
 
+// Serve takes the services of the configuration in force.
+func (f *Fleet) Serve(services []string) {
+	f.services = make(map[string]bool, len(services))
+	for _, service := range services {
+		f.services[service] = true
+	}
+}
+
 // Heard takes another VM's word on its load, in tokens times layers by server.
 func (f *Fleet) Heard(vm string, loads map[string]float64) { f.others[vm] = loads }
 
@@ -143,6 +158,9 @@
 
 // Put takes an entry that is new or has changed.
 func (f *Fleet) Put(now time.Duration, server Server) {
+	if server.Name == "" {
+		server.Name = server.ID
+	}
 	if server.Draining {
 		f.leaves(now, Departure{ID: server.ID})
 	} else {
@@ -158,17 +176,21 @@
 	}
 }
 
-// replaceAt ends the other processes at a new server's address, whether or not their
-// entries are still to be trusted; or the new one, if an entry there was written
-// later.
+// replaceAt ends the other processes at a new server's address and those before it
+// under its name, whether or not their entries are still to be trusted; or the new one,
+// if an entry there was written later.
 //
 // What can go wrong: a VM that starts finds the entries of a process that crashed
 // and of its successor in one list, in any order. If it took the one that it reads
 // last, the successor would count as gone, here and, once told, on every other VM.
-// So the entries' revisions decide, and each VM decides for itself.
+// So the entries' revisions decide, and each VM decides for itself. An entry of a
+// service that nobody knows ends no other: whoever wrote it is none of the servers.
 func (f *Fleet) replaceAt(now time.Duration, server Server) {
 	for id, k := range f.servers {
-		if id == server.ID || k.Address != server.Address || k.Draining {
+		if id == server.ID || k.Draining || k.Address != server.Address && k.Name != server.Name {
+			continue
+		}
+		if k.Service != server.Service && !f.services[server.Service] {
 			continue
 		}
 		if k.missing == 0 && k.Revision > server.Revision {
@@ -188,7 +210,7 @@
 	}
 	for id := range f.servers {
 		if !present[id] && f.servers[id].missing == 0 {
-			f.Remove(now, id, revision)
+			f.remove(now, id, revision)
 		}
 	}
 }
@@ -261,7 +283,7 @@
 	return f.load(k) / room
 }
 
-// Known finds a server by ID, unless it is gone.
+// Known finds a server by its ID, unless it is gone.
 func (f *Fleet) Known(id string) (Server, bool) {
 	k, ok := f.servers[id]
 	if !ok {
--- a/internal/core/backends/backends_test.go
+++ b/internal/core/backends/backends_test.go
@@ -23,7 +23,7 @@
 
 func server(id, dataCentre, card string, from, to int) backends.Server {
 	return backends.Server{
-		ID: id, Service: "llm", Address: id + ":1", DataCentre: dataCentre, Card: card,
+		ID: id, Name: id, Service: "llm", Address: id + ":1", DataCentre: dataCentre, Card: card,
 		Holds: []backends.Held{{Layers: api.Layers{From: from, To: to}, Version: 1}},
 	}
 }
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -182,7 +182,7 @@
 func (f *Fleet) holders(now time.Duration, service routes.Service, version int, request Request) []chain.Holder {
 	var holders []chain.Holder
 	for _, k := range f.servers {
-		if k.Service != service.Name || !k.mayTake(now, request) {
+		if k.Service != service.Name || !k.mayTake(now, request) || !service.Engine.Knows(k.Card) {
 			continue
 		}
 		for _, held := range k.Holds {
--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -42,12 +42,18 @@
 	return true
 }
 
-// Remove takes the word that an entry isn't there any more, by a revision.
-func (f *Fleet) Remove(now time.Duration, id string, revision uint64) {
-	k, ok := f.servers[id]
-	if !ok {
-		return
+// Remove takes the word that the entry of a name isn't there any more, or names no
+// server, by a revision. Whatever life of the server it stood for is gone.
+func (f *Fleet) Remove(now time.Duration, name string, revision uint64) {
+	for id, k := range f.servers {
+		if k.Name == name && k.Revision <= revision {
+			f.remove(now, id, revision)
+		}
 	}
+}
+
+func (f *Fleet) remove(now time.Duration, id string, revision uint64) {
+	k := f.servers[id]
 	if f.outage || (f.restored > 0 && now < f.restored+LapseGrace) {
 		k.missing = revision
 		return
--- /dev/null
+++ b/internal/core/backends/lives_test.go
@@ -0,0 +1,88 @@
+package backends_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+)
+
+// life is a life of the server s1, started at a moment, that holds the first layers.
+func life(started string, revision uint64) backends.Server {
+	s := server("s1@"+started, "a", "fast", 0, 40)
+	s.Name, s.Address, s.Revision = "s1", "s1:1", revision
+	return s
+}
+
+// Symptom: a server that is empty and well gets no request for seconds, or too many.
+// Sequence: it starts again under its name; what ran on it before ends; other VMs still
+// tell of its former life. Cause: what is known of it is kept by its name.
+func TestWhatIsKnownOfAServerEndsWithItsLife(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Put(0, server("s2", "a", "fast", 40, 80))
+	f.Put(0, life("1", 1))
+	before, err := f.Path(0, service(), request())
+	g.Expect(err).NotTo(HaveOccurred())
+	load := before.Load(1000)
+	f.Begin(load)
+	f.Suspect(0, "s1@1", time.Minute)
+	f.Dark(0, "s1@1", time.Minute)
+	f.Paced(0, "s1@1", 9)
+	f.Full(0, "s1@1")
+
+	f.Put(time.Second, life("2", 2))
+	choice, err := f.Path(time.Second, service(), request())
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(choice.First.ID).To(Equal("s1@2"))
+	g.Expect(choice.First.Name).To(Equal("s1"))
+	g.Expect(f.Pace(time.Second, "s1@2")).To(Equal(1.0))
+	g.Expect(f.IsDark(time.Second, "s1@2")).To(BeFalse())
+	g.Expect(f.Used(service().Engine, "s1@2")).To(BeZero())
+	_, former := f.Known("s1@1")
+	g.Expect(former).To(BeFalse())
+
+	f.Begin(choice.Load(1000))
+	used := f.Used(service().Engine, "s1@2")
+	f.End(load)
+	f.Leave(time.Second, backends.Departure{ID: "s1@1"})
+	f.Suspect(time.Second, "s1@1", time.Minute)
+	g.Expect(f.Used(service().Engine, "s1@2")).To(Equal(used), "the former life's load")
+	g.Expect(f.Servers("llm")).To(HaveLen(2))
+
+	f.Put(2*time.Second, life("1", 1))
+	g.Expect(f.Servers("llm")[0].ID).To(Equal("s1@2"), "a late word of the former life")
+	f.Remove(2*time.Second, "s1", 3)
+	g.Expect(f.Servers("llm")).To(HaveLen(1), "the entry stands for whatever life it had")
+}
+
+// Symptom: a server that is well gets no request any more. Sequence: another program
+// writes an entry with its address, for a service that nobody has. Cause: the newer of
+// two entries at an address ends the older one.
+func TestAnEntryOfAnUnknownServiceEndsNoOther(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Put(0, server("s2", "a", "fast", 40, 80))
+	f.Serve([]string{"app", "llm"})
+	f.Put(0, server("s1", "a", "fast", 0, 40))
+	other := server("x", "a", "fast", 0, 40)
+	other.Address, other.Service, other.Revision = "s1:1", "nobody's", 9
+	f.Put(0, other)
+	g.Expect(f.Servers("llm")).To(HaveLen(2))
+	other.ID, other.Name, other.Service = "y", "y", "app"
+	f.Put(0, other)
+	g.Expect(f.Servers("llm")).To(HaveLen(1), "an address is used again by another service")
+}
+
+// Symptom: all requests go to one server and fail. Sequence: an entry names a kind of
+// accelerator that the configuration doesn't describe. Cause: its pace counts as 0.
+func TestAServerOfAnUnknownKindRunsNoLayers(t *testing.T) {
+	g := NewWithT(t)
+	f := backends.New()
+	f.Put(0, server("s2", "a", "fast", 40, 80))
+	f.Put(0, server("s1", "a", "fast", 0, 40))
+	f.Put(0, server("s0", "a", "other", 0, 80))
+	g.Expect(path(g, f, request())).To(Equal("s1[0,40) s2[40,80)"))
+}
--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -34,6 +34,13 @@
 	Pace, Read float64
 }
 
+// Knows tells whether a kind of accelerator is described. Of another one neither the
+// pace nor the memory is known, and it must not pass for a fast one.
+func (e *Engine) Knows(card string) bool {
+	_, known := e.Cards[card]
+	return known
+}
+
 // Fits is the most layers that a card can hold.
 func (e *Engine) Fits(card Card) int {
 	if e.LayerMB <= 0 {
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -133,6 +134,9 @@
 	return service, ok
 }
 
+// ServiceNames lists the services by name.
+func (t *Table) ServiceNames() []string { return slices.Sorted(maps.Keys(t.services)) }
+
 // Engines lists the services that run layers of a model, by name.
 func (t *Table) Engines() []Service {
 	var engines []Service
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
@@ -50,11 +51,23 @@
 	orderTimeout = time.Second
 	// orderLost is when an order that did not show is decided anew.
 	orderLost = 3 * time.Second
+	// refusedFor is how long a server is left alone at first that did not take an order,
+	// and refusedMost how long at most; it doubles with each failure in a row. Restarted
+	// servers and cut ways are back within seconds.
+	refusedFor  = 400 * time.Millisecond
+	refusedMost = 3200 * time.Millisecond
 )
 
 // errBusy marks a server that carries out an order. It would refuse another one.
 var errBusy = eris.New("server carries out another order: decide again when that shows")
 
+// errRestarted marks a server that started again since its entry was read.
+//
+// What can go wrong: a server starts again under its name and counts its orders from
+// 0, as before. An order for what it held in its former life fits the count, and takes
+// layers that it doesn't have, or gives up the last copy that it just loaded.
+var errRestarted = eris.New("server started again: decide again by its new entry")
+
 // placer orders the layers of its data centre's servers while it holds the role.
 type placer struct {
 	parts      Parts
@@ -67,6 +80,10 @@
 	live func() []string
 	// pending are the orders that don't show in the entries yet.
 	pending map[string]pendingOrder
+	// refusals are the servers that did not take their last order, and failed brings
+	// word of them.
+	refusals map[string]refusedOrder
+	failed   chan string
 	// count and changed are the number of servers and since when it is so.
 	count   int
 	changed time.Duration
@@ -82,6 +99,11 @@
 	until   time.Duration
 }
 
+// refusedOrder is a server that did not take its last order. It gets none until then.
+type refusedOrder struct {
+	span, until time.Duration
+}
+
 type pendingOrder struct {
 	layers api.Layers
 	// loaded is when the load should be over, and until when the order is given up.
@@ -96,9 +118,11 @@
 			Self:  lease.VM{Name: p.Settings.VM, DataCentre: p.Settings.DataCentre, Incarnation: uuid.NewString()},
 			Times: roleTimes, Candidates: roleCandidates, Now: bootclock.Now,
 		}),
-		pending: make(map[string]pendingOrder),
-		last:    make(map[string][]spread.Server),
-		lost:    make(map[string]lostServer),
+		pending:  make(map[string]pendingOrder),
+		refusals: make(map[string]refusedOrder),
+		failed:   make(chan string, failedKept),
+		last:     make(map[string][]spread.Server),
+		lost:     make(map[string]lostServer),
 	}
 }
 
@@ -144,18 +168,43 @@
 	p.holding = held
 }
 
+// failedKept bounds the failures between two looks; what is beyond waits for orderLost.
+const failedKept = 256
+
+// takeFailures has the servers that did not take their orders decided anew.
+//
+// What can go wrong: a server starts again behind a cut; its entry comes when the way
+// there is not yet back, and the order's call fails. If the order still counted as given,
+// nobody would give another one for the time of four loads: 15 s in which the server
+// stood empty and half of its data centre's requests were refused.
+func (p *placer) takeFailures() {
+	now := bootclock.Now()
+	for {
+		select {
+		case id := <-p.failed:
+			span := min(max(2*p.refusals[id].span, refusedFor), refusedMost)
+			p.refusals[id] = refusedOrder{span: span, until: now + span}
+			delete(p.pending, id)
+		default:
+			maps.DeleteFunc(p.refusals, func(_ string, r refusedOrder) bool { return now > r.until+refusedMost })
+			return
+		}
+	}
+}
+
 func (p *placer) place(ctx context.Context) {
+	p.takeFailures()
 	table := p.dispatcher.Table()
 	if table == nil {
 		return
 	}
 	for _, service := range table.Engines() {
-		servers, addresses := p.servers(service)
+		servers, listed := p.servers(service)
 		if !p.ready(servers) {
 			continue
 		}
 		for _, order := range spread.Plan(service.Engine, p.withLost(service, servers)) {
-			p.order(ctx, service, addresses[order.Server], order)
+			p.order(ctx, service, listed[order.Server], order)
 		}
 	}
 }
@@ -163,7 +212,7 @@
 // servers are the data centre's, each with what it holds and was ordered to. Those
 // that other servers wait for in vain are left out, seconds before the platform
 // misses them.
-func (p *placer) servers(service routes.Service) ([]spread.Server, map[string]string) {
+func (p *placer) servers(service routes.Service) ([]spread.Server, map[string]backends.Server) {
 	var listed []backends.Server
 	paces, used := make(map[string]float64), make(map[string]float64)
 	p.dispatcher.Fleet(func(at time.Duration, fleet *backends.Fleet) {
@@ -174,7 +223,7 @@
 	})
 	now := bootclock.Now()
 	var servers []spread.Server
-	addresses := make(map[string]string)
+	byID := make(map[string]backends.Server)
 	for _, s := range listed {
 		if s.DataCentre != p.parts.Settings.DataCentre {
 			continue
@@ -182,13 +231,20 @@
 		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds), Pace: paces[s.ID], Used: used[s.ID]}
 		if order, ok := p.pending[s.ID]; ok && (server.Holds == order.layers || now > order.until) {
 			delete(p.pending, s.ID)
+			delete(p.refusals, s.ID)
 		} else if ok {
 			server.Ordered, server.Loading, server.Wait = order.layers, true, order.loaded-now
+		} else if now < p.refusals[s.ID].until {
+			if server.Holds.Len() == 0 {
+				continue
+			}
+			// It holds what it holds, and can't be moved.
+			server.Ordered, server.Loading = server.Holds, true
 		}
 		servers = append(servers, server)
-		addresses[s.ID] = s.Address
+		byID[s.ID] = s
 	}
-	return servers, addresses
+	return servers, byID
 }
 
 // withLost adds the servers that went a moment ago. A server that crashed is back
@@ -258,28 +314,35 @@
 
 // order gives an order on condition of the server's count of orders, so that one
 // which arrives late, after a newer one, does nothing.
-func (p *placer) order(ctx context.Context, service routes.Service, address string, order spread.Order) {
+func (p *placer) order(ctx context.Context, service routes.Service, server backends.Server, order spread.Order) {
 	load, now := service.Engine.LoadFor(order.Layers.Len()), bootclock.Now()
 	p.pending[order.Server] = pendingOrder{layers: order.Layers, loaded: now + load, until: now + orderLost + 4*load}
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
-		err := p.give(ctx, address, order)
+		err := p.give(ctx, server, order)
 		if err != nil {
 			telemetry.LayersRefused.Fail(p.log, err, "server", order.Server, "layers", order.Layers.String())
+			select {
+			case p.failed <- order.Server:
+			default: // the order is decided anew after orderLost
+			}
 			return
 		}
 		telemetry.LayersOrdered.Log(p.log, "server", order.Server, "layers", order.Layers.String())
 	}()
 }
 
-func (p *placer) give(ctx context.Context, address string, order spread.Order) error {
-	report, err := p.parts.Engines.Report(ctx, address)
+func (p *placer) give(ctx context.Context, server backends.Server, order spread.Order) error {
+	report, err := p.parts.Engines.Report(ctx, server.Address)
 	if err != nil {
 		return err
 	}
 	if report.Busy {
 		return errBusy
 	}
-	return p.parts.Engines.Place(ctx, address, order.Server, relay.Order{Orders: report.Orders, Layers: order.Layers})
+	if report.Started != server.Started && report.Started > 0 && server.Started > 0 {
+		return errRestarted
+	}
+	return p.parts.Engines.Place(ctx, server.Address, server.Name, relay.Order{Orders: report.Orders, Layers: order.Layers})
 }
--- /dev/null
+++ b/internal/edge/placer_test.go
@@ -0,0 +1,79 @@
+package edge
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/bootclock"
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/chain"
+	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/core/spread"
+	"oleandershunt.example/oleandershunt/internal/relay"
+)
+
+// orderBook is a server that notes its orders.
+type orderBook struct {
+	report relay.Report
+	fails  error
+	placed []string
+}
+
+func (b *orderBook) Report(context.Context, string) (relay.Report, error) { return b.report, b.fails }
+
+func (b *orderBook) Place(_ context.Context, _, server string, _ relay.Order) error {
+	b.placed = append(b.placed, server)
+	return nil
+}
+
+func (b *orderBook) Repath(context.Context, string, string, string, chain.Path) error { return nil }
+
+// Symptom: a server gives up layers that it has just loaded. Sequence: it starts again
+// under its name between a look at its entry and the order; both lives have taken no
+// order. Cause: the order's condition fits the new life, too.
+func TestAnOrderForAServersFormerLifeIsNotGiven(t *testing.T) {
+	g := NewWithT(t)
+	book := &orderBook{report: relay.Report{Started: 2}}
+	p := &placer{parts: Parts{Engines: book}}
+	order := spread.Order{Server: "s1@1", Layers: api.Layers{From: 0, To: 9}}
+	g.Expect(p.give(context.Background(), backends.Server{ID: "s1@1", Name: "s1", Started: 1}, order)).To(MatchError(errRestarted))
+	g.Expect(book.placed).To(BeEmpty())
+	g.Expect(p.give(context.Background(), backends.Server{ID: "s1@2", Name: "s1", Started: 2}, order)).To(Succeed())
+	g.Expect(book.placed).To(Equal([]string{"s1"}))
+}
+
+// Symptom: a server stands empty for 15 s while its data centre refuses half of its
+// requests. Sequence: it starts again behind a cut; the call of its first order fails.
+// Cause: the order counts as given until four loads could have ended.
+func TestAnOrderThatFailedIsDecidedAnewSoon(t *testing.T) {
+	g := NewWithT(t)
+	table := routes.New(1, routes.Limits{}, nil, []routes.Service{{Name: "llm", Engine: &routes.Engine{
+		Layers: 8, LayerMB: 1, LoadTime: time.Minute, Cards: map[string]routes.Card{"card": {MB: 10, Pace: 1, Read: 1}},
+	}}}, nil)
+	service, _ := table.Service("llm")
+	dispatcher := relay.NewDispatcher(bootclock.Now, nil)
+	server := backends.Server{ID: "s1", Service: "llm", Address: "s1:1", DataCentre: "a", Card: "card"}
+	dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, server) })
+	p := newPlacer(Parts{Engines: &orderBook{fails: context.DeadlineExceeded}, Settings: Settings{DataCentre: "a"}}, dispatcher, nil, nil)
+
+	order := spread.Order{Server: "s1", Layers: api.Layers{From: 0, To: 8}}
+	fail := func() time.Duration {
+		p.order(context.Background(), service, server, order)
+		g.Eventually(p.failed).Should(HaveLen(1))
+		p.takeFailures()
+		return p.refusals["s1"].until - bootclock.Now()
+	}
+	g.Expect(fail()).To(BeNumerically("~", refusedFor, refusedFor/2))
+	g.Expect(p.pending).To(BeEmpty())
+	servers, _ := p.servers(service)
+	g.Expect(servers).To(BeEmpty(), "it is left alone for a moment")
+	g.Expect(fail()).To(BeNumerically("~", 2*refusedFor, refusedFor))
+
+	p.refusals["s1"] = refusedOrder{until: bootclock.Now()}
+	servers, _ = p.servers(service)
+	g.Expect(servers).To(HaveLen(1), "it can be ordered again")
+}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-logr/logr"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
@@ -24,12 +25,14 @@
 	// registered is told of each entry.
 	registered func(backends.Server)
 	lost       bool
+	// unread are the versions of the entries that name no server to use, by name.
+	unread map[string]uint64
 }
 
 var _ objects.Sink = (*serverList)(nil)
 
 func newServerList(p Parts, d *relay.Dispatcher, registered func(backends.Server)) *serverList {
-	return &serverList{parts: p, log: p.Log, dispatcher: d, registered: registered}
+	return &serverList{parts: p, log: p.Log, dispatcher: d, registered: registered, unread: make(map[string]uint64)}
 }
 
 func (l *serverList) run(ctx context.Context) error {
@@ -79,6 +82,9 @@
 	}
 	server, ok := l.decode(event.Object)
 	if !ok {
+		l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
+			fleet.Remove(now, event.Object.Name, event.Object.Version)
+		})
 		return nil
 	}
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, server) })
@@ -107,14 +113,31 @@
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Back(now) })
 }
 
-// decode reads an entry. One that can't be read leaves its server out, with a line.
+// decode reads an entry. One that names no server to use is left out, with a line for
+// each of its versions.
 func (l *serverList) decode(object objects.Object) (backends.Server, bool) {
 	server, err := l.parts.Decode.Server(object.Name, object.Value)
 	if err != nil {
-		telemetry.RelayServers.Fail(l.log, err, "server", object.Name)
+		l.leaveOut(object, err)
 		return server, false
 	}
+	delete(l.unread, object.Name)
 	server.Revision = object.Version
 	l.registered(server)
 	return server, true
 }
+
+// unreadKept bounds the entries that are remembered as left out.
+const unreadKept = 1024
+
+func (l *serverList) leaveOut(object objects.Object, err error) {
+	if version, told := l.unread[object.Name]; told && version == object.Version {
+		return
+	}
+	if len(l.unread) >= unreadKept {
+		clear(l.unread)
+	}
+	l.unread[object.Name] = object.Version
+	metrics.GetOrCreateCounter("oleandershunt_relay_entries_left_out_total").Inc()
+	telemetry.RelayServers.Fail(l.log, err, "server", object.Name, "revision", object.Version)
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -230,7 +230,7 @@
 		header.Set("User-Agent", "")
 	}
 	attempt := Attempt{
-		Server: choice.First.ID, Account: x.account.Name, Path: choice.Path,
+		Server: choice.First.Name, Account: x.account.Name, Path: choice.Path,
 		Priority: x.priority(), After: x.call.After,
 	}
 	if x.after != "" {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -36,6 +36,7 @@
 		return false
 	}
 	d.table = table
+	d.fleet.Serve(table.ServiceNames())
 	return true
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -237,7 +237,7 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(w.o.ctx, moveTimeout)
 		defer cancel()
-		err = w.h.Engines.Repath(ctx, choice.First.Address, choice.First.ID, w.x.call.ID, choice.Path)
+		err = w.h.Engines.Repath(ctx, choice.First.Address, choice.First.Name, w.x.call.ID, choice.Path)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -71,6 +71,8 @@
 type Report struct {
 	// Orders counts the orders that it took since it started.
 	Orders uint64
+	// Started is when it started, in Unix milliseconds. 0 where it doesn't say.
+	Started uint64
 	// Busy says that an order is being carried out.
 	Busy bool
 	// Layers is the range held. Empty when it holds none.
