Let most VMs read servers' entries from old answers while readers tell what is new

Change: two VMs of a data centre read the newest entries and say so in their words; the others take answers that may be seconds old, at a tenth of the price, while they have heard a reader in the last 0.7 s. Departures go by the VMs' words as before.

--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -86,10 +86,11 @@
 	actors.AddContext(&group, config.run)
 	actors.AddContext(&group, handler.RunPaces)
 	actors.AddContext(&group, handler.RunPoison)
-	actors.AddContext(&group, newServerList(p, dispatcher, handler.Registered).run)
+	entries := newServerList(p, dispatcher, handler.Registered)
+	actors.AddContext(&group, entries.run)
 	live := func() []string { return []string{s.VM} }
 	if s.Peers != "" {
-		talk, err := addPeers(&group, p, dispatcher, handler, config)
+		talk, err := addPeers(&group, p, dispatcher, handler, config, entries)
 		if err != nil {
 			return err
 		}
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -53,6 +53,9 @@
 	gossip     *gossip.Gossip
 	directory  *peer.Directory
 	handler    *relay.Handler
+	readers    *readers
+	// answered tells whether the platform answers this VM.
+	answered func() bool
 	// telling is held while a word is made. count counts the words.
 	telling sync.Mutex
 	count   uint64
@@ -78,12 +81,15 @@
 	Left []backends.Departure `json:"g,omitempty"`
 	// Slow are the paces that this VM was told of servers that are slow or were.
 	Slow map[string]float64 `json:"p,omitempty"`
+	// Reads says that this VM reads the newest entries of servers, and the platform
+	// answers it.
+	Reads bool `json:"f,omitempty"`
 	// Findings are what is held against bodies that may crash servers.
 	Findings []relay.Finding `json:"c,omitempty"`
 }
 
 // addPeers adds the server for other VMs and the talk with them.
-func addPeers(group *run.Group, p Parts, d *relay.Dispatcher, handler *relay.Handler, config *configReader) (*peers, error) {
+func addPeers(group *run.Group, p Parts, d *relay.Dispatcher, handler *relay.Handler, config *configReader, entries *serverList) (*peers, error) {
 	s := p.Settings
 	// A later process of the VM has a higher incarnation. Should the time of day
 	// have been set back, the gossip finds out and raises it.
@@ -105,6 +111,9 @@
 		Seed:     incarnation,
 	})
 	talk.handler = handler
+	talk.readers = &readers{self: s.VM, near: func() []string { return talk.near(s.DataCentre) }, now: bootclock.Now}
+	talk.answered = entries.answered
+	p.Store.Relax(talk.readers.relaxed)
 	handler.Found = talk.lost
 	server := peer.NewServer(identity, nil, func(from, address string, err error) {
 		telemetry.PeerRefused.Fail(p.Log, err, "from", from, "address", address)
@@ -181,6 +190,7 @@
 	})
 	now.Lost, now.Left = t.stillTold(news)
 	now.Findings = t.findings()
+	now.Reads = t.answered() && t.readers.reading()
 	value, err := json.Marshal(now)
 	if err != nil {
 		panic(err) // counts always encode
@@ -251,6 +261,9 @@
 		loads[id] = float64(units * loadUnit)
 	}
 	t.dispatcher.HeardRepeats(entry.VM, now.Repeats)
+	if now.Reads {
+		t.readers.hear()
+	}
 	for _, finding := range now.Findings {
 		t.handler.HeardFinding(finding)
 	}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -24,7 +25,8 @@
 	dispatcher *relay.Dispatcher
 	// registered is told of each entry.
 	registered func(backends.Server)
-	lost       bool
+	// lost says that the platform doesn't answer, and known that it ever did.
+	lost, known atomic.Bool
 	// unread are the versions of the entries that name no server to use, by name.
 	unread map[string]uint64
 }
@@ -98,16 +100,18 @@
 	if errors.Is(err, objects.ErrCompacted) {
 		return
 	}
-	if !l.lost {
-		l.lost = true
+	if !l.lost.Swap(true) {
 		telemetry.PlatformLost.Log(l.log, "cause", err.Error())
 	}
 	l.dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { fleet.Outage() })
 }
 
+// answered tells whether the platform answers this VM's questions for entries.
+func (l *serverList) answered() bool { return l.known.Load() && !l.lost.Load() }
+
 func (l *serverList) back() {
-	if l.lost {
-		l.lost = false
+	l.known.Store(true)
+	if l.lost.Swap(false) {
 		telemetry.PlatformBack.Log(l.log)
 	}
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Back(now) })
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -15,11 +15,13 @@
 	callTimeout time.Duration
 	bookmark    time.Duration
 	gather      time.Duration
-	budget      *rate.Limiter
-	clock       Clock
-	random      func() float64
-	backoffMax  time.Duration
-	counters    counters
+	// relaxed says whether answers of watches may be old now; nil is never.
+	relaxed    func() bool
+	budget     *rate.Limiter
+	clock      Clock
+	random     func() float64
+	backoffMax time.Duration
+	counters   counters
 }
 
 // Get reads one object.
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -34,7 +34,7 @@
 	c.counters.count(MethodWatch, errWatchOpen)
 	alive := make(chan struct{}, 1)
 	go c.endWhenSilent(ctx, cancel, alive)
-	watch := Watch{Kind: kind, Prefix: prefix, Version: version, Bookmark: c.bookmark, Gather: c.gather}
+	watch := Watch{Kind: kind, Prefix: prefix, Version: version, Bookmark: c.bookmark, Gather: c.gather, Relaxed: c.relaxed}
 	err := c.wire.Watch(ctx, watch, func(event WatchEvent) error {
 		notify(alive)
 		return handle(event)
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -56,6 +56,9 @@
 	// Gather is how long a wire that asks anew for each batch of changes waits after one,
 	// so that the next brings more of them. A wire whose watch is one call ignores it.
 	Gather time.Duration
+	// Relaxed tells, before each call, whether its answer may be some seconds old, which
+	// costs the platform less. Nil is never. A wire whose watch is one call ignores it.
+	Relaxed func() bool
 }
 
 // ownWire speaks the product's own object API: HTTP with JSON.
