End a silent attempt only with a repeat in hand and a way to go

Cause: an attempt that could not be moved, or whose answer seemed lost, was ended first; the budget of repeats and the search for a path came after. Change: before it is ended, a path with room is looked for and a repeat reserved; otherwise the request waits and is looked into again, with one line (4212). Ruled out: a cut so that the caller may resume by itself: it has one repeat, and silence of a server is no reason to end an answer.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -266,6 +266,8 @@
 	if last == notStarted {
 		return x.refusals < refusalsBound && h.Dispatcher.mayRepeat(x.service.Name, offersPart)
 	}
+	reserved := x.reserved
+	x.reserved = false
 	if x.route.Repeat == routes.Once || x.sends >= failuresBound || !h.suspects.repeats(x.poison) {
 		return false
 	}
@@ -277,6 +279,9 @@
 		}
 		x.only = x.ran
 	}
+	if reserved {
+		return true
+	}
 	part := answersPart
 	if x.events > 0 {
 		part = 1
@@ -284,6 +289,12 @@
 	return h.Dispatcher.mayRepeat(x.service.Name, part)
 }
 
+// mayResume tells whether a stream that ran on servers may have another attempt after so
+// many, repeats of all VMs left aside.
+func (h *Handler) mayResume(x *exchange, ran []string, sends int) bool {
+	return sends < failuresBound && h.suspects.repeats(x.poison) && h.live(ran) < max(x.route.Attempts, 1)
+}
+
 // live counts the servers that are still there.
 func (h *Handler) live(ids []string) int {
 	live := 0
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -100,6 +100,8 @@
 	// sends counts the attempts that reached a server, and refusals those that it
 	// said not to have run.
 	sends, refusals int
+	// reserved says that the next attempt's repeat was taken from the budget already.
+	reserved bool
 	// mayHaveRun says that a server may have begun.
 	mayHaveRun bool
 	// detail says why no server was found, for the line of the refusal.
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -44,6 +44,11 @@
 	heard time.Time
 	// blamed lists the servers for which the attempt was moved or ended.
 	blamed []string
+	// sends counts the attempts up to this one.
+	sends int
+	// reserved says that the attempt was ended with a repeat in hand, and waits that it
+	// goes on because there was none, or no way to go.
+	reserved, waits bool
 }
 
 // watches are the attempts that are being watched.
@@ -77,7 +82,7 @@
 // watch starts looking at an attempt. Requests that may not run twice, and services
 // whose servers make no reports, are left to their servers' and callers' time limits.
 func (h *Handler) watch(x *exchange, o *opened) *watchdog {
-	w := &watchdog{h: h, x: x, o: o, heard: time.Now()}
+	w := &watchdog{h: h, x: x, o: o, heard: time.Now(), sends: x.sends + 1}
 	if x.route.Repeat == routes.Resumable && x.service.Engine != nil && h.Patience > 0 {
 		w.timer = time.AfterFunc(h.firstPatience(x), w.look)
 		h.watches.add(w)
@@ -149,6 +154,37 @@
 		w.h.watches.remove(w)
 	}
 	w.x.avoid = append(w.x.avoid, w.blamed...)
+	w.x.reserved = w.reserved
+}
+
+// leave ends the attempt if it can be resumed: there is a path with room, and a repeat,
+// which is reserved. It must be called with the lock held.
+//
+// What can go wrong: a server dies inside many paths at once, or answers are lost, while
+// others are short of room or repeats are used up. If each stream were ended first and
+// asked for a repeat afterwards, those without one would be cut, though some of their
+// servers go on after a moment; beside a change of the configuration that is an answer
+// lost without need.
+func (w *watchdog) leave() bool {
+	if w.reserved {
+		return true
+	}
+	first := w.o.choice.First.ID
+	request := w.h.request(w.x)
+	request.Avoid = append(append(slices.Clone(w.x.avoid), w.blamed...), first)
+	request.Only = nil
+	_, err := w.h.Dispatcher.path(w.x.service, request)
+	if err == nil && w.h.mayResume(w.x, append(slices.Clone(w.x.ran), first), w.sends) && w.h.Dispatcher.mayRepeat(w.x.service.Name, 1) {
+		w.reserved = true
+		w.o.cancel(errStalled)
+		return true
+	}
+	if !w.waits {
+		w.waits = true
+		telemetry.RelayWaits.Log(w.h.Log, "request", w.x.call.ID, "first", first, "sends", w.sends, "cause", telemetry.Cause(err))
+	}
+	w.lookAfter(w.h.Patience / 2)
+	return false
 }
 
 // look asks the first server what the request waits for.
@@ -204,13 +240,12 @@
 
 // giveUp ends the attempt, so that it is resumed elsewhere.
 func (w *watchdog) giveUp(first string) {
-	telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first)
 	w.h.Dispatcher.suspect(first, suspectMute)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended {
+	if !w.ended && w.leave() {
 		w.blamed = append(w.blamed, first)
-		w.o.cancel(errStalled)
+		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first)
 	}
 }
 
@@ -246,8 +281,9 @@
 		return
 	}
 	if err != nil {
-		telemetry.RelayNotMoved.Log(w.h.Log, "request", w.x.call.ID, "blamed", blamed, "cause", err.Error())
-		w.o.cancel(errStalled)
+		if w.leave() {
+			telemetry.RelayNotMoved.Log(w.h.Log, "request", w.x.call.ID, "blamed", blamed, "cause", err.Error())
+		}
 		return
 	}
 	request := w.h.request(w.x)
@@ -265,7 +301,9 @@
 	if w.ended || w.moving {
 		return false
 	}
-	w.blamed = append(w.blamed, blamed)
+	if !slices.Contains(w.blamed, blamed) {
+		w.blamed = append(w.blamed, blamed)
+	}
 	w.moving = true
 	return true
 }
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -75,15 +75,21 @@
 	mu      sync.Mutex
 	runs    []string
 	goOn    chan struct{}
+	// dispatcher knows the servers of list.
+	dispatcher *relay.Dispatcher
+	list       []backends.Server
 }
 
-func newRig(t *testing.T) *rig {
+func newRig(t *testing.T) *rig { return newRigWith(t, 100) }
+
+// newRigWith makes a rig with so many repeats.
+func newRigWith(t *testing.T, repeats float64) *rig {
 	r := &rig{WithT: NewWithT(t), engines: &engines{moved: make(chan chain.Path, 8), asked: make(map[string]int)}, found: make(chan string, 8), goOn: make(chan struct{})}
 	engine := &routes.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: time.Millisecond, Prompt: 100, Answer: 10, Cards: map[string]routes.Card{"c": {MB: 100_000, Pace: 1}}}
 	route := routes.Route{Host: "a.example", Prefix: "/", Repeat: routes.Resumable, Stream: true, Attempts: 2, Shares: []routes.Share{{Service: "llm", Weight: 1}}}
 	start := time.Now()
 	d := relay.NewDispatcher(func() time.Duration { return time.Since(start) + time.Second },
-		budget.New(budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, VMs: 1}))
+		budget.New(budget.Options{Ratio: 0.2, Slack: repeats, Window: 10 * time.Second, VMs: 1}))
 	d.SetTable(routes.New(1, routes.Limits{}, []routes.Route{route}, []routes.Service{{Name: "llm", Engine: engine}}, nil))
 	var list []backends.Server
 	for i, from := range []int{0, 0, 40, 40} {
@@ -95,10 +101,11 @@
 		})
 	}
 	d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
+	r.dispatcher, r.list = d, list
 	r.engines.stalled = list[2].Address
 	handler := relay.New(relay.Options{
 		Log: logr.Discard(), Wire: platform.Requests{}, Engines: r.engines, Dispatcher: d, DataCentre: "a",
-		Proven: func() bool { return true }, Found: func(id string) { r.found <- id }, Patience: 50 * time.Millisecond,
+		Proven: func() bool { return true }, Found: r.note, Patience: 50 * time.Millisecond,
 	})
 	front := httptest.NewServer(handler)
 	t.Cleanup(front.Close)
@@ -106,6 +113,15 @@
 	return r
 }
 
+// note takes a server that was found to be silent. One that is found again and again
+// is noted as often as there is place.
+func (r *rig) note(id string) {
+	select {
+	case r.found <- id:
+	default:
+	}
+}
+
 // run streams one event, and the rest when the test lets it or on a resumption.
 func (r *rig) run(w http.ResponseWriter, request *http.Request) {
 	after := request.Header.Get("Last-Event-Id")
@@ -211,3 +227,36 @@
 	r.Expect(r.call()).To(Equal(wholeAnswer))
 	r.Expect(r.runs).To(Equal([]string{"", "1"}))
 }
+
+// Symptom: an answer is cut in the middle that its servers would have finished. Sequence:
+// a server inside its path is silent for a moment; the request can't be moved; all
+// repeats are used up. Cause: the attempt is ended before a repeat is asked for.
+func TestAStreamWithoutARepeatIsNotEnded(t *testing.T) {
+	r := newRigWith(t, 0)
+	r.engines.refuse = true
+	done := make(chan string, 1)
+	go func() { done <- r.call() }()
+	r.Eventually(r.found, "5s").Should(Receive(Equal("s3")))
+	r.Consistently(done, "400ms").ShouldNot(Receive())
+	close(r.goOn)
+	r.Eventually(done, "5s").Should(Receive(Equal(wholeAnswer)))
+	r.Expect(r.runs).To(Equal([]string{""}))
+}
+
+// Symptom: streams are cut after a loss though there is room again half a second later.
+// Sequence: a server inside their path dies; no other one holds its layers until one has
+// loaded them. Cause: the attempt is ended though there is no way to go.
+func TestAStreamIsResumedOnceThereIsAWay(t *testing.T) {
+	r := newRig(t)
+	r.engines.refuse = true
+	r.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Remove(now, "s4", 2) })
+	done := make(chan string, 1)
+	go func() { done <- r.call() }()
+	r.Eventually(r.found, "5s").Should(Receive(Equal("s3")))
+	r.Consistently(done, "400ms").ShouldNot(Receive())
+	again := r.list[3]
+	again.Revision = 3
+	r.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, again) })
+	r.Eventually(done, "5s").Should(Receive(Equal(wholeAnswer)))
+	r.Expect(r.runs).To(Equal([]string{"", "1"}))
+}
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -12,6 +12,7 @@
 	RelayMoved          = Event{4208, "request moved to another path"}
 	RelayNotMoved       = Event{4209, "request not moved; its attempt ends"}
 	RelayAnswerLost     = Event{4211, "answer is lost; the request is resumed elsewhere"}
+	RelayWaits          = Event{4212, "path is silent; the request waits, since it can't be resumed now"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 )
 
