Give checks of another attempt, ranks of VMs and relaxed watches one place each

Cause: a read of the whole change. Change: mayRunAgain and mayRunElsewhere, rank, remove, room, Watch.Next in the store's client; the readers' test deletes its readers with slices.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -271,22 +271,19 @@
 	k.fullUntil = now + k.fullSpan
 }
 
-// room is what fits beside the layers held, in tokens times layers.
-func (k *known) room(engine *routes.Engine) float64 {
-	if engine == nil || len(k.Holds) == 0 {
-		return 0
-	}
-	return engine.Room(engine.Cards[k.Card], k.Holds[0].Layers.Len())
+// room is what fits beside a range held, in tokens times layers.
+func (k *known) room(engine *routes.Engine, held Held) float64 {
+	return engine.Room(engine.Cards[k.Card], held.Layers.Len())
 }
 
 // Used is the part of a server's room for requests that is taken, as far as this VM
 // knows.
 func (f *Fleet) Used(engine *routes.Engine, id string) float64 {
 	k, ok := f.servers[id]
-	if !ok {
+	if !ok || engine == nil || len(k.Holds) == 0 {
 		return 0
 	}
-	room := k.room(engine)
+	room := k.room(engine, k.Holds[0])
 	if room <= 0 {
 		return 0
 	}
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -164,7 +164,7 @@
 // hasRoom tells whether a server has room for a request, as far as this VM knows.
 func (f *Fleet) hasRoom(now time.Duration, k *known, engine *routes.Engine, held Held, request Request) bool {
 	takes := (request.Prompt + request.Answer) * float64(held.Layers.Len())
-	return now >= k.fullUntil && f.load(k)+takes <= overbooked*engine.Room(engine.Cards[k.Card], held.Layers.Len())
+	return now >= k.fullUntil && f.load(k)+takes <= overbooked*k.room(engine, held)
 }
 
 // versions lists the versions of the weights, the newest first.
@@ -223,7 +223,7 @@
 		read = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, 0.1)
 	}
 	base := (request.Answer*step + read) / float64(engine.Layers) * k.paceAt(now)
-	return base * f.pressure(now, k, engine.Room(card, held.Layers.Len()))
+	return base * f.pressure(now, k, k.room(engine, held))
 }
 
 // pressure is by how much dearer a server is that has little memory left.
--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -41,11 +41,7 @@
 // order of the VMs is the same on all that know the same ones live, and the loss of one
 // moves few.
 func (p *configPeers) upstream() (vm string, hops int) {
-	var vms []lease.VM
-	for _, name := range p.near() {
-		vms = append(vms, lease.VM{Name: name})
-	}
-	ranked := lease.Rank("configuration", "", vms)
+	ranked := rank("configuration", p.near())
 	position := lease.Position(ranked, p.self)
 	if position <= 0 {
 		return "", 0
@@ -57,6 +53,15 @@
 	return vm, hops
 }
 
+// rank orders VMs for a task, the same on all that know the same ones.
+func rank(task string, names []string) []lease.VM {
+	vms := make([]lease.VM, 0, len(names))
+	for _, name := range names {
+		vms = append(vms, lease.VM{Name: name})
+	}
+	return lease.Rank(task, "", vms)
+}
+
 // follow waits at the upstream VM for something newer than what is known, as long as
 // that is given, and hands over what it says. It returns the version in force there and
 // how many hops it took; 0 hops when nothing was said.
--- a/internal/edge/readers.go
+++ b/internal/edge/readers.go
@@ -39,12 +39,7 @@
 
 // reading tells whether this VM is one of those that read the newest entries.
 func (r *readers) reading() bool {
-	var vms []lease.VM
-	for _, name := range r.near() {
-		vms = append(vms, lease.VM{Name: name})
-	}
-	position := lease.Position(lease.Rank("entries", "", vms), r.self)
-	return position < entryReaders
+	return lease.Position(rank("entries", r.near()), r.self) < entryReaders
 }
 
 // hear takes the word of a VM that reads the newest entries.
--- a/internal/edge/readers_test.go
+++ b/internal/edge/readers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -35,13 +36,12 @@
 	}
 
 	// When the readers are gone, others take their place.
+	gone := make(map[string]bool)
 	for _, name := range names {
-		if all[name].reading() {
-			names = append([]string{}, names...)
-			names[indexOf(names, name)] = names[0]
-			names = names[1:]
-		}
+		gone[name] = all[name].reading()
 	}
+	names = slices.DeleteFunc(names, func(name string) bool { return gone[name] })
+	g.Expect(names).To(HaveLen(27 - entryReaders))
 	reading := 0
 	for _, name := range names {
 		if all[name].reading() {
@@ -50,12 +50,3 @@
 	}
 	g.Expect(reading).To(Equal(entryReaders))
 }
-
-func indexOf(names []string, name string) int {
-	for i, n := range names {
-		if n == name {
-			return i
-		}
-	}
-	return -1
-}
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -76,17 +76,13 @@
 		return nil
 	}
 	if event.Deleted {
-		l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
-			fleet.Remove(now, event.Object.Name, event.Object.Version)
-		})
+		l.remove(event.Object)
 		telemetry.RelayServers.Log(l.log, "server", event.Object.Name, "state", "gone", "revision", event.Object.Version)
 		return nil
 	}
 	server, ok := l.decode(event.Object)
 	if !ok {
-		l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
-			fleet.Remove(now, event.Object.Name, event.Object.Version)
-		})
+		l.remove(event.Object)
 		return nil
 	}
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, server) })
@@ -95,6 +91,11 @@
 	return nil
 }
 
+// remove takes the word that an entry is gone, or names no server to use.
+func (l *serverList) remove(object objects.Object) {
+	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Remove(now, object.Name, object.Version) })
+}
+
 // Broken implements objects.Sink.
 func (l *serverList) Broken(err error) {
 	if errors.Is(err, objects.ErrCompacted) {
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -61,6 +61,22 @@
 	Relaxed func() bool
 }
 
+// The times of a watch whose answers may be old. It is asked again soon, so that it is
+// soon known when they may not be any more.
+const (
+	relaxedWait   = 700 * time.Millisecond
+	relaxedGather = 500 * time.Millisecond
+)
+
+// Next is the watch as its next call makes it, and whether that call's answer may be old.
+func (w Watch) Next() (next Watch, relaxed bool) {
+	if w.Relaxed == nil || !w.Relaxed() {
+		return w, false
+	}
+	w.Bookmark, w.Gather = min(w.Bookmark, relaxedWait), max(w.Gather, relaxedGather)
+	return w, true
+}
+
 // ownWire speaks the product's own object API: HTTP with JSON.
 type ownWire struct {
 	base string
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -268,11 +268,11 @@
 	}
 	reserved := x.reserved
 	x.reserved = false
-	if x.route.Repeat == routes.Once || x.sends >= failuresBound || !h.suspects.repeats(x.poison) {
+	if x.route.Repeat == routes.Once || !h.mayRunAgain(x, x.sends) {
 		return false
 	}
 	x.only = nil
-	if h.live(x.ran) >= max(x.route.Attempts, 1) {
+	if !h.mayRunElsewhere(x, x.ran) {
 		// No more servers may run it, but those that did may do so again.
 		if x.route.Repeat != routes.Freely {
 			return false
@@ -289,10 +289,15 @@
 	return h.Dispatcher.mayRepeat(x.service.Name, part)
 }
 
-// mayResume tells whether a stream that ran on servers may have another attempt after so
+// mayRunAgain tells whether a request that may run again has another attempt after so
 // many, repeats of all VMs left aside.
-func (h *Handler) mayResume(x *exchange, ran []string, sends int) bool {
-	return sends < failuresBound && h.suspects.repeats(x.poison) && h.live(ran) < max(x.route.Attempts, 1)
+func (h *Handler) mayRunAgain(x *exchange, sends int) bool {
+	return sends < failuresBound && h.suspects.repeats(x.poison)
+}
+
+// mayRunElsewhere tells whether a request that ran on servers may run on one more.
+func (h *Handler) mayRunElsewhere(x *exchange, ran []string) bool {
+	return h.live(ran) < max(x.route.Attempts, 1)
 }
 
 // live counts the servers that are still there.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -107,7 +107,7 @@
 // request may be repeated, else passed on.
 func (h *Handler) streamFailed(x *exchange, o *opened, started bool) (fate, bool) {
 	body, err := io.ReadAll(io.LimitReader(o.response.Body, answerBound))
-	if x.route.Repeat != routes.Once && h.live(append(x.ran, o.choice.First.ID)) < max(x.route.Attempts, 1) || started || err != nil {
+	if x.route.Repeat != routes.Once && h.mayRunElsewhere(x, append(x.ran, o.choice.First.ID)) || started || err != nil {
 		h.failedBody(x, o, err)
 		x.failed(o.choice)
 		return uncertain, false
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -171,10 +171,10 @@
 	}
 	first := w.o.choice.First.ID
 	request := w.h.request(w.x)
-	request.Avoid = append(append(slices.Clone(w.x.avoid), w.blamed...), first)
-	request.Only = nil
+	request.Avoid, request.Only = append(w.avoided(), first), nil
 	_, err := w.h.Dispatcher.path(w.x.service, request)
-	if err == nil && w.h.mayResume(w.x, append(slices.Clone(w.x.ran), first), w.sends) && w.h.Dispatcher.mayRepeat(w.x.service.Name, 1) {
+	mayRun := w.h.mayRunAgain(w.x, w.sends) && w.h.mayRunElsewhere(w.x, append(slices.Clone(w.x.ran), first))
+	if err == nil && mayRun && w.h.Dispatcher.mayRepeat(w.x.service.Name, 1) {
 		w.reserved = true
 		w.o.cancel(errStalled)
 		return true
@@ -308,11 +308,15 @@
 	return true
 }
 
+// avoided lists the servers that failed the request or are blamed for its silence. It
+// must be called with the lock held.
+func (w *watchdog) avoided() []string { return append(slices.Clone(w.x.avoid), w.blamed...) }
+
 // otherPath chooses a path that begins with the same part.
 func (w *watchdog) otherPath(blamed string) (backends.Choice, error) {
 	w.mu.Lock()
 	current := w.o.choice
-	avoid := append(slices.Clone(w.x.avoid), w.blamed...)
+	avoid := w.avoided()
 	w.mu.Unlock()
 	if current.First.ID == blamed {
 		return backends.Choice{}, errStalled
