--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -157,8 +157,7 @@
 // What can go wrong: hundreds of requests come within a moment, after a loss of power
 // or as a burst. Each VM finds the same path the cheapest and sees its own requests
 // only; together they queue up there for a second while other paths idle. VMs that have all
-// just started are in no sum yet: 195 of them had 446 offers not run and refused 173 requests
-// where they didn't reckon with one another, 364 and 83 where they did (one play each).
+// just started are in no sum yet.
 func (f *Fleet) expected(k *known) float64 {
 	return f.load(k) + max(k.memory-k.told, 0)*float64(max(f.others, f.live-1))
 }
@@ -305,10 +304,7 @@
 
 // manyVMs is how many VMs there are at least for others' words on full servers to count. A VM
 // among few is refused soon enough itself, and what is full for one request has room for a
-// smaller one; left alone by all, a server idles that may be the only one with its layers. In
-// plays of one bad day before nine VMs 0.24 to 0.39 (four) where the words count, 0.46 and 0.48
-// where they don't; of five days each before 23 VMs no difference beyond the error; before
-// 195 VMs a quarter of the offers not run.
+// smaller one; left alone by all, a server idles that may be the only one with its layers.
 const manyVMs = 40
 
 // FullNow lists the servers that had no room for this VM's requests, for as long as they
@@ -330,8 +326,7 @@
 // What can go wrong: a server loses room that no VM knows of, as when requests are stuck on a
 // dead one behind it, or it leaves while the platform is away. Each VM has to be refused by
 // it before it looks elsewhere, and again as soon as it has forgotten, and each of these
-// offers takes a repeat. In one play each of a day with many servers lost before 195 VMs,
-// 1,936 offers were not run and 1,460 requests refused without this, 453 and 298 with it.
+// offers takes a repeat.
 func (f *Fleet) HeardFull(now time.Duration, spans map[string]time.Duration, spread float64) {
 	if f.others+1 < manyVMs {
 		return
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -81,9 +81,7 @@
 const (
 	// farFirst is the price, in milliseconds, of a path that begins in another data
 	// centre: it breaks when that is cut off, and its answer crosses. A usual request
-	// costs 2,000 to 4,000. At 120 half of all paths were far. Measured over 10 pairs of
-	// days: 0.748 at 120, 0.760 at 500, 0.767 at 1,500 on krishijot-bengal (error 0.004);
-	// within the error on voinescu-gravura.
+	// costs two to four thousand.
 	farFirst = 1500.0
 	// crossing is the price of going on in another data centre, for paths that must.
 	crossing = 4000.0
@@ -98,9 +96,7 @@
 	fullCost = 10.0
 	// easy is the part of the memory up to which a server costs no more than when it is
 	// empty. From there on the price rises as what is left gets less: what other VMs
-	// put there in the last half second isn't known yet. With room made a condition:
-	// 866 offers not run in 26 s before, 374 after, worth 0.263 and 0.320 (one day of a
-	// fleet of 86 servers).
+	// put there in the last half second isn't known yet.
 	easy = 0.5
 )
 
@@ -141,7 +137,7 @@
 // pipe that all share and that some 50 usual requests a second fill. When servers
 // are loaded, crossing paths look cheap; they fill the pipe, answers take twice as
 // long, requests hold their memory twice as long, and the servers are fuller still.
-// One notices answers of 60 ms an event in place of 33 on a fleet that has room.
+// One notices slow events on a fleet that has room.
 func (f *Fleet) find(now time.Duration, service routes.Service, version int, request Request) (chain.Path, bool) {
 	holders := f.holders(now, service, version, request)
 	from, place := 0, request.DataCentre
--- a/internal/core/backends/index.go
+++ b/internal/core/backends/index.go
@@ -8,10 +8,9 @@
 
 // index finds servers by where they are and what they are called, and in order of ID.
 //
-// What it gains: with a look through all servers for each entry, the first list of 3,000
-// took 228 ms of a whole core, and more than a second on a VM with a fifth of one; with a
-// sort for each request, a path through them took 2.4 ms; 2.5 and 0.8 ms with the index
-// (BenchmarkReplace, BenchmarkPath).
+// What it gains: with a look through all servers for each entry, the first list of thousands
+// takes a small VM more than a second, and with a sort for each request a path through them
+// takes milliseconds (BenchmarkReplace, BenchmarkPath).
 type index struct {
 	addresses, names map[string][]*known
 	// sorted are all servers in order of ID; nil after one came or went.
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -66,25 +66,21 @@
 // The figures of the layout.
 const (
 	// fillFirst is the part of the memory that layers take on the servers of the
-	// first copy, the fastest ones: at 0.72 a copy has room for about 59,000 tokens
-	// of requests where a layer weighs as much as 152,000 tokens of it.
+	// first copy, the fastest ones. The rest is for requests.
 	fillFirst = 0.72
 	// roomy is the part down to which a copy is widened by more servers of its slowest
-	// kind: at 0.5 it has room for 150,000 tokens.
+	// kind.
 	roomy = 0.5
 	// fillNext is the same for the second copy, which takes what the first can't.
 	fillNext = 0.85
 	// fillMore is the same for more copies than two: from there on room for requests is
-	// worth more than a copy. Where a data centre had seven copies at 0.85, servers of its
-	// fastest copy had room for 57 requests and made two thirds of all refusals (866 not
-	// run in 26 s; 199 at 0.70). For two copies 0.70 cost 0.033 on kademe-izmir.
+	// worth more than a copy.
 	fillMore = 0.70
 	// spare is the part of its memory that a server fills which adds to a layout.
 	spare = 0.72
 	// grown is the part that a server may fill on its way from one range to another.
 	// Memory taken comes back only when every request that passes the layers given
-	// up has ended. A server at 0.92 held 19 requests in place of 80 for ten seconds
-	// and more, and all others on its paths waited for it.
+	// up has ended, and all others on a path wait for the server with least room.
 	grown = 0.85
 	// crowded is the part that a server may fill to hold layers that nobody holds.
 	crowded = 0.96
--- a/internal/core/tally/reach.go
+++ b/internal/core/tally/reach.go
@@ -22,8 +22,7 @@
 //
 // What can go wrong: a data centre is cut off. Each VM finds out by itself, server by server,
 // since each connection that is opened there hangs for 0.4 s, and the repeats of all are used
-// up. In one play each of a day with a cut of 6 s before 195 VMs, 862 attempts failed and 153
-// requests were refused for want of room without this, 294 and 4 with it.
+// up.
 type Reach struct {
 	silent map[string]silence
 }
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -4,8 +4,8 @@
 // I/O and reads no clock; its methods must not be called at the same time.
 //
 // What it gains: with words from each VM to all, what a VM hears grows with the VMs, so
-// with 195 VMs each could tell its loads every 11 s only, and knew next to nothing of the
-// others; 13 of 100 offers were not run for want of room.
+// each of many can tell its loads only seldom, all know next to nothing of one another, and
+// servers refuse for want of room what others would take.
 package tally
 
 import (
--- a/internal/edge/peers.go
+++ b/internal/edge/peers.go
@@ -36,9 +36,7 @@
 	// them a second, whatever the number of VMs. Other news has few VMs that tell it.
 	//
 	// What can go wrong: words cost those who hear them, and events that pass through a
-	// small VM come late. With 82 VMs of 0.19 cores and 125 words a second, 60 of 100
-	// answers were late though each server kept pace. Worth of one day up to second 22:
-	// 0.475 at 8 ms a VM, 0.706 at 60 ms.
+	// small VM come late though each server keeps pace.
 	tellPerVM = 60 * time.Millisecond
 	tellFew   = 9
 	// keyWord is the entry that each VM writes.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -41,9 +41,8 @@
 	// time between two reads of it.
 	comeBackUnproven = time.Second
 	// firstConfig is how long a request waits for the first configuration of a VM that has
-	// just started, and firstConfigPart bounds that by the time that its caller has: of 195
-	// VMs that start at once half have it after 0.14 s, the last one after 0.26 s. Without
-	// that wait they refused 525 requests in 0.3 s.
+	// just started, and firstConfigPart bounds that by the time that its caller has. VMs
+	// that all start at once have it within half of that.
 	firstConfig     = 500 * time.Millisecond
 	firstConfigPart = 0.5
 )
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -69,9 +69,7 @@
 // What can go wrong: servers of one data centre are lost, and its VMs offer requests to
 // others, which fill up at once. A request is refused after four offers in 17 ms, or after
 // one since its VM's part of the repeats of a moment is used up, though there is room and a
-// repeat some 100 ms later; an answer that has begun is cut. In one play each of such a day
-// before 195 VMs, 372 callers were refused in the end without this wait and that for the
-// first configuration, 115 with both; 374 and 521 failed.
+// repeat some 100 ms later; an answer that has begun is cut.
 func (h *Handler) mayOffer(x *exchange) bool {
 	begun, step := time.Now(), offerStep<<max(x.refusals-1, 0)
 	wait := waitsFor(x).room
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -88,8 +88,7 @@
 //
 // What can go wrong: the watch shares what the request's own goroutine writes. A list of
 // servers to avoid is torn, or a timer that fires at once finds no timer, and the stream is
-// never looked at again; on one processor beside load, 6 of 24 runs with the race detector
-// showed it.
+// never looked at again.
 func (h *Handler) watch(x *exchange, o *opened) {
 	if x.route.Repeat != routes.Resumable || x.service.Engine == nil || h.Patience <= 0 {
 		return
