Count the slots of a path's first server, over all VMs

Cause: the servers that begin a path have memory for three times as many requests as slots (192), and only memory counted.

VMs now tell with their loads how many requests they sent to each server, and beginning where more than three quarters of the slots are taken has a price that rises past the difference between a fast and a slow path. Nothing is refused for want of a slot: where all first servers are over, the least loaded is taken. The late cause 'slot' (event 4213) names answers sent to a first server without a free slot, with 'taken' of 'slots'.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -69,12 +69,23 @@
 	pace             float64
 	pacedAt, askedAt time.Duration
 	paceNews         bool
-	// running and memory are this VM's requests on the server, and what they take
-	// there, in tokens times layers.
-	running int
-	memory  float64
-	// told is what the other VMs were last told of memory.
-	told float64
+	// used is what this VM's requests take on the server, and told what the other VMs
+	// were last told of that.
+	used, told Usage
+}
+
+// Usage is what requests take on a server.
+type Usage struct {
+	// Memory is in tokens times layers.
+	Memory float64
+	// Running is how many requests were sent to the server itself, as the first one of
+	// their paths or the only one. Those take its slots.
+	Running int
+}
+
+// Plus adds up what requests take.
+func (u Usage) Plus(other Usage) Usage {
+	return Usage{Memory: u.Memory + other.Memory, Running: u.Running + other.Running}
 }
 
 // Fleet is the servers that are known. The zero value isn't ready; use New.
@@ -92,8 +103,8 @@
 	// restored is when the platform answered again after an outage.
 	restored time.Duration
 	outage   bool
-	// sums is what the requests of all other VMs take on servers, in tokens times layers.
-	sums map[string]float64
+	// sums is what the requests of all other VMs take on servers.
+	sums map[string]Usage
 	// others is how many VMs they are, and live how many VMs there are, this one included,
 	// whether or not they are in the sums yet.
 	others, live int
@@ -103,7 +114,7 @@
 
 // New makes an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]float64), unreached: make(map[string]time.Duration)}
+	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), unreached: make(map[string]time.Duration)}
 }
 
 // Serve takes the services of the configuration in force.
@@ -114,8 +125,8 @@
 	}
 }
 
-// Heard takes what so many other VMs have put on servers, in tokens times layers by server.
-func (f *Fleet) Heard(loads map[string]float64, vms int) { f.sums, f.others = loads, vms }
+// Heard takes what the requests of so many other VMs take, by server.
+func (f *Fleet) Heard(loads map[string]Usage, vms int) { f.sums, f.others = loads, vms }
 
 // Live takes how many VMs there are, this one included.
 func (f *Fleet) Live(vms int) { f.live = vms }
@@ -133,14 +144,13 @@
 	}
 }
 
-// Loads is what this VM takes on servers, in tokens times layers. It is to be told to
-// the other VMs.
-func (f *Fleet) Loads() map[string]float64 {
-	loads := make(map[string]float64)
+// Loads is what this VM's requests take, by server. It is to be told to the other VMs.
+func (f *Fleet) Loads() map[string]Usage {
+	loads := make(map[string]Usage)
 	for id, k := range f.servers {
-		k.told = k.memory
-		if k.memory > 0 {
-			loads[id] = k.memory
+		k.told = k.used
+		if k.used.Memory > 0 || k.used.Running > 0 {
+			loads[id] = k.used
 		}
 	}
 	return loads
@@ -148,7 +158,7 @@
 
 // load is what all VMs have put on a server, as far as this one knows.
 func (f *Fleet) load(k *known) float64 {
-	return k.memory + f.sums[k.ID]
+	return k.used.Memory + f.sums[k.ID].Memory
 }
 
 // expected is the load with what the other VMs have put on a server since they told
@@ -159,7 +169,7 @@
 // only; together they queue up there for a second while other paths idle. VMs that have all
 // just started are in no sum yet.
 func (f *Fleet) expected(k *known) float64 {
-	return f.load(k) + max(k.memory-k.told, 0)*float64(max(f.others, f.live-1))
+	return f.load(k) + max(k.used.Memory-k.told.Memory, 0)*float64(max(f.others, f.live-1))
 }
 
 // Outage says that the platform does not answer this VM.
@@ -390,6 +400,8 @@
 
 // Load is what a request puts on servers while it runs.
 type Load struct {
+	// First is the server that it was sent to.
+	First string
 	Parts []LoadPart
 }
 
@@ -406,12 +418,14 @@
 func (f *Fleet) End(load Load) { f.count(load, -1) }
 
 func (f *Fleet) count(load Load, by int) {
+	// A server that was gone and is back starts from nothing, while requests of before it
+	// went still end.
+	if k, ok := f.servers[load.First]; ok {
+		k.used.Running = max(k.used.Running+by, 0)
+	}
 	for _, part := range load.Parts {
 		if k, ok := f.servers[part.ID]; ok {
-			// A server that was gone and is back starts from nothing, while requests of
-			// before it went still end.
-			k.running = max(k.running+by, 0)
-			k.memory = max(k.memory+float64(by)*part.Memory, 0)
+			k.used.Memory = max(k.used.Memory+float64(by)*part.Memory, 0)
 		}
 	}
 }
--- a/internal/core/backends/backends_test.go
+++ b/internal/core/backends/backends_test.go
@@ -97,9 +97,9 @@
 		server("s1", "a", "fast", 0, 40), server("s2", "a", "fast", 40, 80), server("s3", "a", "fast", 40, 80),
 	}, 1)
 	g.Expect(path(g, f, request())).To(Equal("s1[0,40) s2[40,80)"))
-	f.Heard(map[string]float64{"s2": 160_000}, 1)
+	f.Heard(map[string]backends.Usage{"s2": {Memory: 160_000}}, 1)
 	g.Expect(path(g, f, request())).To(Equal("s1[0,40) s3[40,80)"))
-	f.Heard(map[string]float64{"s2": 900_000}, 1)
+	f.Heard(map[string]backends.Usage{"s2": {Memory: 900_000}}, 1)
 	f.Full(0, "s3")
 	_, err := f.Path(0, service(), request())
 	g.Expect(err).To(MatchError(backends.ErrFull), "none of them has room")
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -39,14 +39,16 @@
 	// Path tiles the layers; nil for a plain service.
 	Path    chain.Path
 	Version int
+	// Taken is how many requests First had from all VMs before this one, as far as is known.
+	Taken int
 }
 
+// Queues tells whether the request was expected to wait for a slot of its first server.
+func (c Choice) Queues() bool { return c.First.Slots > 0 && c.Taken >= c.First.Slots }
+
 // Load is what a request of so many tokens puts on the servers of the choice.
 func (c Choice) Load(tokens float64) Load {
-	if len(c.Path) == 0 {
-		return Load{Parts: []LoadPart{{ID: c.First.ID}}}
-	}
-	load := Load{Parts: make([]LoadPart, 0, len(c.Path))}
+	load := Load{First: c.First.ID, Parts: make([]LoadPart, 0, len(c.Path))}
 	for _, part := range c.Path {
 		load.Parts = append(load.Parts, LoadPart{ID: part.ID, Memory: tokens * float64(part.Layers.Len())})
 	}
@@ -124,7 +126,7 @@
 			continue
 		}
 		if first, ok := f.servers[path[0].ID]; ok {
-			return Choice{First: first.Server, Path: path, Version: version}, true
+			return Choice{First: first.Server, Path: path, Version: version, Taken: f.expectedRunning(first)}, true
 		}
 	}
 	return Choice{}, false
@@ -201,7 +203,7 @@
 				Place:   k.DataCentre,
 				Cost:    f.layerCost(now, k, service.Engine, held, request),
 				Hop:     hopCost * request.Answer,
-				First:   firstCost(k, request),
+				First:   f.firstCost(k, request),
 			})
 		}
 	}
@@ -234,11 +236,13 @@
 	return 1 + min((max(used, easy)-easy)/(1-used), fullCost)
 }
 
-func firstCost(k *known, request Request) float64 {
+// firstCost is what is added to a path that begins at a server.
+func (f *Fleet) firstCost(k *known, request Request) float64 {
+	cost := f.slotCost(k)
 	if k.DataCentre != request.DataCentre {
-		return farFirst
+		cost += farFirst
 	}
-	return 0
+	return cost
 }
 
 // missing names the layers that no usable server holds, for messages.
@@ -263,7 +267,7 @@
 		if k.Service != service || !f.mayTake(now, k, request) {
 			continue
 		}
-		load := usualVMs * float64(k.running) / float64(max(k.Slots, 1))
+		load := usualVMs * float64(k.used.Running) / float64(max(k.Slots, 1))
 		if k.DataCentre != request.DataCentre {
 			load += farLoad
 		}
@@ -274,7 +278,7 @@
 	if best == nil {
 		return Choice{}, fmt.Errorf("%w: service %s has no server that is ready", ErrNoServer, service)
 	}
-	return Choice{First: best.Server}, nil
+	return Choice{First: best.Server, Taken: f.expectedRunning(best)}, nil
 }
 
 // farLoad is how much busier, in parts of its slots, a server of the own data
--- a/internal/core/backends/crowd_test.go
+++ b/internal/core/backends/crowd_test.go
@@ -32,7 +32,7 @@
 	fleets []*backends.Fleet
 	// pace is the time between two tellings of a VM; told is what each told last.
 	pace time.Duration
-	told []map[string]float64
+	told []map[string]backends.Usage
 	// toldFull is which servers each told to be full; toldOf says that the others hear it.
 	toldFull []map[string]time.Duration
 	toldOf   bool
@@ -48,7 +48,7 @@
 }
 
 func newCrowd(g *WithT, vms int, pace time.Duration) *crowd {
-	c := &crowd{g: g, pace: pace, truth: make(map[string]float64), ends: make(map[time.Duration][]func()), told: make([]map[string]float64, vms), toldFull: make([]map[string]time.Duration, vms), refused: make(map[string]int)}
+	c := &crowd{g: g, pace: pace, truth: make(map[string]float64), ends: make(map[time.Duration][]func()), told: make([]map[string]backends.Usage, vms), toldFull: make([]map[string]time.Duration, vms), refused: make(map[string]int)}
 	for range vms {
 		f := backends.New()
 		for lane := range 8 {
@@ -109,14 +109,14 @@
 }
 
 // others is the sum of what all VMs but one have told.
-func (c *crowd) others(but int) map[string]float64 {
-	sum := make(map[string]float64)
+func (c *crowd) others(but int) map[string]backends.Usage {
+	sum := make(map[string]backends.Usage)
 	for i, loads := range c.told {
 		if i == but {
 			continue
 		}
 		for id, load := range loads {
-			sum[id] += load
+			sum[id] = sum[id].Plus(load)
 		}
 	}
 	return sum
--- /dev/null
+++ b/internal/core/backends/slots.go
@@ -0,0 +1,38 @@
+package backends
+
+// The figures of slots. A server works at once on as many requests as it has slots; what is
+// sent to it beyond waits in its queue. Of a path only the first server counts.
+const (
+	// easySlots is the part of a server's slots up to which it costs nothing to begin
+	// there. What other VMs sent there in the last half second isn't known yet.
+	easySlots = 0.75
+	// slotsTaken is the price, in milliseconds, of beginning where all slots are expected to
+	// be taken: above the difference between a fast path and a slow one, since a first
+	// event that waits for a slot makes the answer late, and a slower path doesn't.
+	slotsTaken = 4000.0
+)
+
+// slotCost is the price of beginning at a server, by how many of its slots are taken.
+//
+// What can go wrong: one server is the first of the cheapest path, and has memory for more
+// requests than slots. What is sent to it beyond waits in its queue, where it takes memory
+// on the whole path; so the streams that run get slower, more of them run at once, and the
+// queue lasts though the cause is over. One notices that all answers of a data centre have
+// late first events, while other servers with the first layers idle.
+func (f *Fleet) slotCost(k *known) float64 {
+	if k.Slots <= 0 {
+		return 0
+	}
+	used := float64(f.expectedRunning(k)) / float64(k.Slots)
+	return max(used-easySlots, 0) / (1 - easySlots) * slotsTaken
+}
+
+// expectedRunning is how many requests all VMs have sent to a server, as far as this one
+// knows. While it has no sum, which is so after a start, the others are taken to do as it
+// does.
+func (f *Fleet) expectedRunning(k *known) int {
+	if f.others == 0 && f.live > 1 {
+		return k.used.Running * f.live
+	}
+	return k.used.Running + f.sums[k.ID].Running
+}
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -11,6 +11,7 @@
 import (
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 )
 
@@ -28,8 +29,8 @@
 type Tally struct {
 	// VMs is how many they are.
 	VMs int
-	// Loads are what their requests take on servers, in tokens times layers, by ID.
-	Loads map[string]float64
+	// Loads are what their requests take, by server.
+	Loads map[string]backends.Usage
 	// Counts are their requests and repeats, by service.
 	Counts map[string]budget.Count
 	// Full are the servers that refused one of their requests for want of room a moment
@@ -38,13 +39,13 @@
 }
 
 func empty() Tally {
-	return Tally{Loads: make(map[string]float64), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
+	return Tally{Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
 }
 
 func (t *Tally) add(other Tally) {
 	t.VMs += other.VMs
 	for id, load := range other.Loads {
-		t.Loads[id] += load
+		t.Loads[id] = t.Loads[id].Plus(load)
 	}
 	for service, count := range other.Counts {
 		sum := t.Counts[service]
--- a/internal/core/tally/tally_test.go
+++ b/internal/core/tally/tally_test.go
@@ -6,13 +6,14 @@
 
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
 
 func of(vms int, load float64, repeats int) tally.Tally {
 	return tally.Tally{
-		VMs: vms, Loads: map[string]float64{"s1": load},
+		VMs: vms, Loads: map[string]backends.Usage{"s1": {Memory: load, Running: vms}},
 		Counts: map[string]budget.Count{"llm": {Requests: 10 * repeats, Repeats: repeats}},
 		Full:   map[string]time.Duration{"s2": 200 * time.Millisecond},
 	}
@@ -46,7 +47,7 @@
 	hub.ReportFar(0, "b", of(3, 1000, 5))
 	soon := hub.Others(tally.Fresh, "vm-2")
 	g.Expect(soon.VMs).To(Equal(4))
-	g.Expect(soon.Loads).To(HaveKeyWithValue("s1", 1100.0))
+	g.Expect(soon.Loads).To(HaveKeyWithValue("s1", backends.Usage{Memory: 1100, Running: 4}))
 	later := hub.Others(tally.Fresh+time.Millisecond, "vm-2")
 	g.Expect(later.VMs).To(BeZero())
 	g.Expect(later.Loads).To(BeEmpty())
--- a/internal/edge/fuzz_test.go
+++ b/internal/edge/fuzz_test.go
@@ -6,6 +6,7 @@
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
@@ -16,7 +17,7 @@
 func FuzzTally(f *testing.F) {
 	for _, told := range []tally.Tally{
 		{},
-		{VMs: 3, Loads: map[string]float64{"s1": 4 * loadUnit}, Counts: map[string]budget.Count{"app": {Requests: 9, Repeats: 2}}},
+		{VMs: 3, Loads: map[string]backends.Usage{"s1": {Memory: 4 * loadUnit, Running: 3}}, Counts: map[string]budget.Count{"app": {Requests: 9, Repeats: 2}}},
 	} {
 		data, err := proto.Marshal(wireTally(told))
 		if err != nil {
@@ -34,7 +35,8 @@
 		read := readTally(&wire)
 		g.Expect(read.VMs).To(BeNumerically(">=", 0))
 		for id, load := range read.Loads {
-			g.Expect(load).To(BeNumerically(">=", 0), id)
+			g.Expect(load.Memory).To(BeNumerically(">=", 0), id)
+			g.Expect(load.Running).To(BeNumerically(">=", 0), id)
 		}
 		for service, count := range read.Counts {
 			g.Expect(count.Requests).To(BeNumerically(">=", 0), service)
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -205,8 +205,9 @@
 		to.Full, to.FullMillis = append(to.Full, id), append(to.FullMillis, uint32(span.Milliseconds()))
 	}
 	for id, load := range from.Loads {
-		if units := uint32(load / loadUnit); units > 0 {
+		if units := uint32(load.Memory / loadUnit); units > 0 || load.Running > 0 {
 			to.Servers, to.Loads = append(to.Servers, id), append(to.Loads, units)
+			to.Running = append(to.Running, uint32(load.Running))
 		}
 	}
 	for service, count := range from.Counts {
@@ -216,16 +217,21 @@
 }
 
 func readTally(from *tallyv1.Tally) tally.Tally {
-	to := tally.Tally{VMs: int(from.GetVms()), Loads: make(map[string]float64), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
+	to := tally.Tally{VMs: int(from.GetVms()), Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
 			to.Full[id] = time.Duration(from.GetFullMillis()[i]) * time.Millisecond
 		}
 	}
 	for i, id := range from.GetServers() {
-		if i < len(from.GetLoads()) {
-			to.Loads[id] = float64(from.GetLoads()[i]) * loadUnit
+		if i >= len(from.GetLoads()) {
+			break
 		}
+		load := backends.Usage{Memory: float64(from.GetLoads()[i]) * loadUnit}
+		if i < len(from.GetRunning()) {
+			load.Running = int(from.GetRunning()[i])
+		}
+		to.Loads[id] = load
 	}
 	for service, count := range from.GetCounts() {
 		to.Counts[service] = budget.Count{Requests: int(count.GetRequests()), Repeats: int(count.GetRepeats())}
--- a/internal/edge/tally_test.go
+++ b/internal/edge/tally_test.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
@@ -19,7 +20,7 @@
 	g := NewWithT(t)
 	hub := &tallies{self: "vm-1", dataCentre: "a", hub: tally.NewHub("a"), proof: newProofKeeper(), reaches: newReaches()}
 	tell := func(vm, dataCentre string, units float64) tally.Tally {
-		said := tally.Tally{VMs: 1, Loads: map[string]float64{"s1": units * loadUnit}, Counts: map[string]budget.Count{"llm": {Requests: 4, Repeats: 1}}, Full: map[string]time.Duration{"s9": 400 * time.Millisecond}}
+		said := tally.Tally{VMs: 1, Loads: map[string]backends.Usage{"s1": {Memory: units * loadUnit, Running: 2}}, Counts: map[string]budget.Count{"llm": {Requests: 4, Repeats: 1}}, Full: map[string]time.Duration{"s9": 400 * time.Millisecond}}
 		answer, err := hub.Tell(context.Background(), connect.NewRequest(&tallyv1.TellRequest{Vm: vm, DataCentre: dataCentre, Tally: wireTally(said)}))
 		g.Expect(err).NotTo(HaveOccurred())
 		return readTally(answer.Msg.Tally)
@@ -30,18 +31,18 @@
 	heard := tell("vm-3", "", 7)
 	g.Expect(heard.VMs).To(Equal(1))
 	g.Expect(heard.Full).To(Equal(map[string]time.Duration{"s9": 400 * time.Millisecond}))
-	g.Expect(heard.Loads).To(HaveKeyWithValue("s1", 5.0*loadUnit))
-	g.Expect(tell("hub-b", "b", 100).Loads).To(HaveKeyWithValue("s1", 12.0*loadUnit), "the sum of the data centre")
+	g.Expect(heard.Loads).To(HaveKeyWithValue("s1", backends.Usage{Memory: 5.0 * loadUnit, Running: 2}))
+	g.Expect(tell("hub-b", "b", 100).Loads).To(HaveKeyWithValue("s1", backends.Usage{Memory: 12.0 * loadUnit, Running: 4}), "the sum of the data centre")
 	heard = tell("vm-2", "", 5)
 	g.Expect(heard.VMs).To(Equal(2))
-	g.Expect(heard.Loads).To(HaveKeyWithValue("s1", 107.0*loadUnit))
+	g.Expect(heard.Loads).To(HaveKeyWithValue("s1", backends.Usage{Memory: 107.0 * loadUnit, Running: 4}))
 	g.Expect(heard.Counts).To(HaveKeyWithValue("llm", budget.Count{Requests: 8, Repeats: 2}))
 }
 
 func TestATallyThatIsCutShortIsReadAsFarAsItGoes(t *testing.T) {
 	g := NewWithT(t)
-	read := readTally(&tallyv1.Tally{Vms: 1, Servers: []string{"s1", "s2"}, Loads: []uint32{3}, Full: []string{"s1", "s2"}, FullMillis: []uint32{200}})
-	g.Expect(read.Loads).To(Equal(map[string]float64{"s1": 3 * loadUnit}))
+	read := readTally(&tallyv1.Tally{Vms: 1, Servers: []string{"s1", "s2"}, Loads: []uint32{3}, Running: []uint32{1, 5}, Full: []string{"s1", "s2"}, FullMillis: []uint32{200}})
+	g.Expect(read.Loads).To(Equal(map[string]backends.Usage{"s1": {Memory: 3 * loadUnit, Running: 1}}))
 	g.Expect(read.Full).To(Equal(map[string]time.Duration{"s1": 200 * time.Millisecond}))
 	g.Expect(readTally(nil).VMs).To(BeZero())
 }
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -7,6 +7,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
@@ -48,6 +49,7 @@
 // The causes of late answers.
 const (
 	lateRoom   = "room"   // it waited for a server with room
+	lateSlot   = "slot"   // its first server had no slot free when it was sent
 	lateCaller = "caller" // the caller's side took events slowly
 	lateRepeat = "repeat" // more than one attempt
 	lateMove   = "move"   // it moved to another path
@@ -58,7 +60,7 @@
 // lateCause is why an answer is late by its route's targets; empty when it isn't. The
 // causes that this VM sees for certain go first: what is left lies between the servers'
 // work and this VM's own.
-func lateCause(x *exchange) string {
+func lateCause(x *exchange, choice backends.Choice) string {
 	t := &x.timing
 	lateStart := x.route.Target > 0 && t.first > x.route.Target
 	paused := x.route.Gap > 0 && t.gap > x.route.Gap
@@ -67,6 +69,8 @@
 		return ""
 	case lateStart && t.room > x.route.Target/2:
 		return lateRoom
+	case lateStart && x.sends == 1 && choice.Queues():
+		return lateSlot
 	case paused && t.write > x.route.Gap/2:
 		return lateCaller
 	case x.sends > 1:
@@ -82,7 +86,7 @@
 
 // noteLate says why an answer was late.
 func (h *Handler) noteLate(x *exchange, o *opened) {
-	cause := lateCause(x)
+	cause := lateCause(x, o.choice)
 	if cause == "" {
 		return
 	}
@@ -93,5 +97,6 @@
 	t := &x.timing
 	telemetry.RelayLate.Log(h.Log, append(x.fields(), "cause", cause, "firstMs", t.first.Milliseconds(),
 		"roomMs", t.room.Milliseconds(), "gapMs", t.gap.Milliseconds(), "writeMs", t.write.Milliseconds(),
-		"moves", t.moves.Load(), "server", o.choice.First.ID, "path", o.choice.Path.String())...)
+		"moves", t.moves.Load(), "server", o.choice.First.ID, "taken", o.choice.Taken, "slots", o.choice.First.Slots,
+		"path", o.choice.Path.String())...)
 }
