Revert "Ask a silent path's servers whether they live, by the stream's own cadence"

It isn't worth its questions.

So a pause is seldom saved: a server's death is known sooner, but what moves reads its prompt anew behind many others, and the pause is over the target all the same; and many silences are no deaths.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -73,7 +73,6 @@
 	watches       watches
 	reports       *reports
 	suspects      *suspects
-	scouts        *scouts
 	// lateLines bounds the lines on late answers.
 	lateLines *rate.Limiter
 }
@@ -81,7 +80,7 @@
 // New makes a handler.
 func New(options Options) *Handler {
 	pooled, fresh := wire.Transports(connectTimeout, nil, idlePerServer)
-	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), scouts: newScouts(), lateLines: rate.NewLimiter(latePerSecond, lateBurst), watches: watches{all: make(map[*watchdog]struct{})}}
+	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), lateLines: rate.NewLimiter(latePerSecond, lateBurst), watches: watches{all: make(map[*watchdog]struct{})}}
 }
 
 // InFlight is the number of requests that are being served.
--- a/internal/relay/reports.go
+++ b/internal/relay/reports.go
@@ -63,24 +63,6 @@
 	}
 }
 
-// recent tells whether a server was asked no longer ago than age.
-func (r *reports) recent(address string, age time.Duration) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	known, ok := r.all[address]
-	return ok && time.Since(known.asked) < age
-}
-
-// done tells whether the report is there, or an error in place of it.
-func (r *reported) done() bool {
-	select {
-	case <-r.ready:
-		return true
-	default:
-		return false
-	}
-}
-
 func (r *reports) ask(address string, age time.Duration) *reported {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -36,25 +36,14 @@
 	asked  map[string]int
 	pace   float64
 	queued int
-	// dead are the addresses whose reports can't be had: a nil error is silence.
-	dead map[string]error
 	// well says that nothing is wrong: reports say that work is queued and nobody stalls.
 	well atomic.Bool
 }
 
-func (e *engines) Report(ctx context.Context, address string) (relay.Report, error) {
+func (e *engines) Report(_ context.Context, address string) (relay.Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.asked[address]++
-	if err, dead := e.dead[address]; dead {
-		if err == nil {
-			e.mu.Unlock()
-			<-ctx.Done()
-			e.mu.Lock()
-			err = ctx.Err()
-		}
-		return relay.Report{}, err
-	}
 	if e.well.Load() {
 		return relay.Report{Pace: e.pace, Queued: 1}, nil
 	}
@@ -96,10 +85,6 @@
 	mu      sync.Mutex
 	runs    []string
 	goOn    chan struct{}
-	// lead are events that a run streams before the one after which it waits, 10 ms apart.
-	lead int
-	// steady has each run stream an event each 10 ms until the test lets it end.
-	steady bool
 	// refusing has each run refused as soon as a request has moved, or after 20 ms.
 	refusing bool
 	// dispatcher knows the servers of list.
@@ -157,7 +142,6 @@
 	after := request.Header.Get("Last-Event-Id")
 	r.mu.Lock()
 	r.runs = append(r.runs, after)
-	steady := r.steady
 	r.mu.Unlock()
 	w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 	if r.refusing {
@@ -170,17 +154,8 @@
 		return
 	}
 	w.Header().Set("X-Response-Seal", "seal")
-	if steady {
-		r.flow(w, request)
-		return
-	}
 	if after == "" {
-		for i := range r.lead {
-			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
-			w.(http.Flusher).Flush()
-			time.Sleep(10 * time.Millisecond)
-		}
-		_, _ = io.WriteString(w, strings.Replace(firstEvent, "1", fmt.Sprint(max(r.lead, 1)), 1))
+		_, _ = io.WriteString(w, firstEvent)
 		w.(http.Flusher).Flush()
 		select {
 		case <-r.goOn:
@@ -191,23 +166,6 @@
 	_, _ = io.WriteString(w, "id: 2\ndata: x\n\n")
 }
 
-// flow streams events until the test lets it end.
-func (r *rig) flow(w http.ResponseWriter, request *http.Request) {
-	ticker := time.NewTicker(10 * time.Millisecond)
-	defer ticker.Stop()
-	for i := 0; ; i++ {
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", i)
-		w.(http.Flusher).Flush()
-		select {
-		case <-ticker.C:
-		case <-r.goOn:
-			return
-		case <-request.Context().Done():
-			return
-		}
-	}
-}
-
 func (r *rig) call() string {
 	response := r.begin()
 	defer response.Body.Close()
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -14,7 +14,6 @@
 	RelayAnswerLost     = Event{4211, "answer is lost; the request is resumed elsewhere"}
 	RelayWaits          = Event{4212, "path is silent; the request waits, since it can't be resumed now"}
 	RelayLate           = Event{4213, "answer was late"}
-	RelayScouted        = Event{4214, "backend server on a silent path does not answer this VM"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 )
 
