Choose plain servers by what all VMs sent there, and in turn

Cause: the load of a plain service's server was this VM's own requests times three, the number of VMs of a small deployment.

The load is now what all VMs told, and of equal servers the one that this VM used longest ago is taken. The constant goes. TestManyVMsShareAPlainServicesServers failed before.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -72,6 +72,8 @@
 	// used is what this VM's requests take on the server, and told what the other VMs
 	// were last told of that.
 	used, told Usage
+	// turn is the number of this VM's request that was sent to it last.
+	turn uint64
 }
 
 // Usage is what requests take on a server.
@@ -108,6 +110,8 @@
 	// others is how many VMs they are, and live how many VMs there are, this one included,
 	// whether or not they are in the sums yet.
 	others, live int
+	// turns counts this VM's requests.
+	turns uint64
 	// unreached are the data centres out of reach, and until when they count as such.
 	unreached map[string]time.Duration
 }
@@ -412,7 +416,13 @@
 }
 
 // Begin counts a request on its servers.
-func (f *Fleet) Begin(load Load) { f.count(load, 1) }
+func (f *Fleet) Begin(load Load) {
+	f.turns++
+	if k, ok := f.servers[load.First]; ok {
+		k.turn = f.turns
+	}
+	f.count(load, 1)
+}
 
 // End takes a request off its servers.
 func (f *Fleet) End(load Load) { f.count(load, -1) }
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -259,7 +259,12 @@
 }
 
 // Instance chooses the server of a plain service: the least busy one for its
-// slots, of the VM's own data centre unless that is much busier.
+// slots by what all VMs sent there, of the VM's own data centre unless that is much
+// busier. Of equal ones it is that to which this VM sent something longest ago.
+//
+// What can go wrong: each of many VMs has no request running most of the time, and finds
+// all servers idle. Where the first one in order is taken then, all VMs take the same. One
+// notices a server with a queue beside idle ones.
 func (f *Fleet) Instance(now time.Duration, service string, request Request) (Choice, error) {
 	var best *known
 	least := 0.0
@@ -267,11 +272,11 @@
 		if k.Service != service || !f.mayTake(now, k, request) {
 			continue
 		}
-		load := usualVMs * float64(k.used.Running) / float64(max(k.Slots, 1))
+		load := float64(f.expectedRunning(k)) / float64(max(k.Slots, 1))
 		if k.DataCentre != request.DataCentre {
 			load += farLoad
 		}
-		if best == nil || load < least || (load == least && k.ID < best.ID) {
+		if best == nil || load < least || load == least && k.before(best) {
 			best, least = k, load
 		}
 	}
@@ -285,5 +290,7 @@
 // centre may be than one elsewhere. Bytes between data centres are paid for.
 const farLoad = 0.7
 
-// usualVMs is how many VMs share a plain service's servers about evenly.
-const usualVMs = 3
+// before tells whether this VM sent something to a server longer ago than to another.
+func (k *known) before(other *known) bool {
+	return cmp.Or(cmp.Compare(k.turn, other.turn), cmp.Compare(k.ID, other.ID)) < 0
+}
