Price slots in times of the request on the slowest cards

4,000 ms fitted one deployment's requests: where a slower path costs more than that, slots would hardly count. The tests of the load pass unchanged.

--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -183,7 +183,7 @@
 }
 
 func (f *Fleet) holders(now time.Duration, service routes.Service, version int, request Request) []chain.Holder {
-	servers := f.index.inOrder(f.servers)
+	servers, slowest := f.index.inOrder(f.servers), slowestCost(service.Engine, request)
 	holders := make([]chain.Holder, 0, len(servers))
 	for _, k := range servers {
 		if k.Service != service.Name || !f.mayTake(now, k, request) || !service.Engine.Knows(k.Card) {
@@ -203,7 +203,7 @@
 				Place:   k.DataCentre,
 				Cost:    f.layerCost(now, k, service.Engine, held, request),
 				Hop:     hopCost * request.Answer,
-				First:   f.firstCost(k, request),
+				First:   f.firstCost(k, request, slowest),
 			})
 		}
 	}
@@ -215,13 +215,18 @@
 func (f *Fleet) layerCost(now time.Duration, k *known, engine *routes.Engine, held Held, request Request) float64 {
 	card := engine.Cards[k.Card]
 	with := f.expected(k) / engine.Usual() / float64(held.Layers.Len())
-	step := float64(engine.StepFor((1+othersCost)*with)) / float64(time.Millisecond) * max(card.Pace, 0.1)
+	base := timeOn(engine, card, engine.StepFor((1+othersCost)*with), request) / float64(engine.Layers)
+	return base * k.paceAt(now) * f.pressure(now, k, k.room(engine, held))
+}
+
+// timeOn is the time in milliseconds that a request takes through all layers on a kind of
+// card, where a step at pace 1 takes so long.
+func timeOn(engine *routes.Engine, card routes.Card, step time.Duration, request Request) float64 {
 	read := 0.0
 	if engine.ReadPerSecond > 0 {
 		read = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, 0.1)
 	}
-	base := (request.Answer*step + read) / float64(engine.Layers) * k.paceAt(now)
-	return base * f.pressure(now, k, k.room(engine, held))
+	return request.Answer*float64(step)/float64(time.Millisecond)*max(card.Pace, 0.1) + read
 }
 
 // pressure is by how much dearer a server is that has little memory left.
@@ -236,9 +241,10 @@
 	return 1 + min((max(used, easy)-easy)/(1-used), fullCost)
 }
 
-// firstCost is what is added to a path that begins at a server.
-func (f *Fleet) firstCost(k *known, request Request) float64 {
-	cost := f.slotCost(k)
+// firstCost is what is added to a path that begins at a server. slowest is the price of the
+// request on the slowest cards.
+func (f *Fleet) firstCost(k *known, request Request, slowest float64) float64 {
+	cost := f.slotCost(k, slowest)
 	if k.DataCentre != request.DataCentre {
 		cost += farFirst
 	}
--- a/internal/core/backends/slots.go
+++ b/internal/core/backends/slots.go
@@ -1,15 +1,17 @@
 package backends
 
+import "oleandershunt.example/oleandershunt/internal/core/routes"
+
 // The figures of slots. A server works at once on as many requests as it has slots; what is
 // sent to it beyond waits in its queue. Of a path only the first server counts.
 const (
 	// easySlots is the part of a server's slots up to which it costs nothing to begin
 	// there. What other VMs sent there in the last half second isn't known yet.
 	easySlots = 0.75
-	// slotsTaken is the price, in milliseconds, of beginning where all slots are expected to
-	// be taken: above the difference between a fast path and a slow one, since a first
-	// event that waits for a slot makes the answer late, and a slower path doesn't.
-	slotsTaken = 4000.0
+	// slotsTaken is the price of beginning where all slots are expected to be taken, in
+	// times of the request on the slowest cards: more than a slower path can cost, since a
+	// first event that waits for a slot makes the answer late, and a slower path doesn't.
+	slotsTaken = 2.0
 )
 
 // slotCost is the price of beginning at a server, by how many of its slots are taken.
@@ -19,12 +21,22 @@
 // on the whole path; so the streams that run get slower, more of them run at once, and the
 // queue lasts though the cause is over. One notices that all answers of a data centre have
 // late first events, while other servers with the first layers idle.
-func (f *Fleet) slotCost(k *known) float64 {
+// slowest is the price of the request on the slowest cards.
+func (f *Fleet) slotCost(k *known, slowest float64) float64 {
 	if k.Slots <= 0 {
 		return 0
 	}
 	used := float64(f.expectedRunning(k)) / float64(k.Slots)
-	return max(used-easySlots, 0) / (1 - easySlots) * slotsTaken
+	return max(used-easySlots, 0) / (1 - easySlots) * slotsTaken * slowest
+}
+
+// slowestCost is what a request costs at most through all layers on servers without load.
+func slowestCost(engine *routes.Engine, request Request) float64 {
+	slowest := 0.0
+	for _, card := range engine.Cards {
+		slowest = max(slowest, timeOn(engine, card, engine.StepFor(1), request))
+	}
+	return slowest
 }
 
 // expectedRunning is how many requests all VMs have sent to a server, as far as this one
