Lay copies out no wider than their first server's slots can fill

Cause: a copy was widened by more of its slowest cards down to half of their memory, whatever a request takes.

A copy is now widened until its room is what its first server's slots can fill, and not below half of the memory as before. The first layer counts as no stronger than the slots of its holders, so empty and spare servers go there when slots are short.

Two tests failed before: a copy had room for more than 1.5 times its slots, and an empty server stood elsewhere though slots for the first layer were short.

--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -64,6 +64,15 @@
 	return max(free, 0) / (e.TokenBytes / float64(e.Layers))
 }
 
+// RoomAt is the tokens of requests that servers have room for beside each of their layers
+// when layers take such a part of their memory.
+func (e *Engine) RoomAt(fill float64) float64 {
+	if fill <= 0 || e.TokenBytes <= 0 {
+		return 0
+	}
+	return max(1-fill, 0) / fill * e.LayerMB * bytesPerMB / (e.TokenBytes / float64(e.Layers))
+}
+
 // LoadFor is the time to load so many layers.
 func (e *Engine) LoadFor(layers int) time.Duration {
 	return e.LoadTime * time.Duration(layers) / time.Duration(max(e.Layers, 1))
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -20,6 +20,9 @@
 type Server struct {
 	ID   string
 	Card routes.Card
+	// Slots is how many requests it works on at once of those that begin at it. 0 is any
+	// number.
+	Slots int
 	// Holds is the range held, by the server's own word.
 	Holds api.Layers
 	// Ordered is the range that it was told to hold, while that is Loading.
@@ -145,9 +148,14 @@
 // widen counts the servers of a copy that takes in more of its slowest kind: they
 // add room for requests and cost a token no more than a change of servers each. It
 // leaves what another copy needs.
+//
+// What can go wrong: requests take little memory, and a copy is widened to have room for
+// twice as many as its first server has slots. The room is never used, while each token
+// passes half as many servers more, of which a smaller part is fast ones. One notices
+// streams that are slow on a quiet day, and servers that use little of their memory.
 func widen(engine *routes.Engine, servers []Server, n int, next float64) int {
 	another := next*float64(total(engine, servers[n:])) >= float64(engine.Layers)
-	for n < len(servers) && servers[n].Card == servers[n-1].Card && roomy*float64(total(engine, servers[:n])) < float64(engine.Layers) {
+	for n < len(servers) && servers[n].Card == servers[n-1].Card && narrow(engine, servers[:n]) {
 		if another && next*float64(total(engine, servers[n+1:])) < float64(engine.Layers) {
 			break
 		}
@@ -156,6 +164,16 @@
 	return n
 }
 
+// narrow tells whether a copy may use more room for requests: less than what its first
+// server has slots for.
+func narrow(engine *routes.Engine, lane []Server) bool {
+	fill := float64(engine.Layers) / float64(total(engine, lane))
+	if fill <= roomy {
+		return false
+	}
+	return lane[0].Slots == 0 || engine.RoomAt(fill) < float64(lane[0].Slots)*engine.Usual()
+}
+
 // share gives each server of a copy its part, in proportion to its memory.
 func share(engine *routes.Engine, lane []Server) []Order {
 	total := total(engine, lane)
--- a/internal/core/spread/spread_test.go
+++ b/internal/core/spread/spread_test.go
@@ -246,3 +246,63 @@
 	}
 	g.Expect(Copies(servers)).To(BeNumerically(">=", 1))
 }
+
+// lean is a model whose requests take little memory beside its layers.
+func lean() *routes.Engine {
+	return &routes.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 360_000, Prompt: 780, Answer: 138}
+}
+
+// leanFleet is a data centre of four fast, nine middle and fourteen small cards.
+func leanFleet() []spread.Server {
+	fast, middle, small := routes.Card{MB: 36_000, Pace: 3.1, Read: 3.2}, routes.Card{MB: 21_600, Pace: 16, Read: 8.2}, routes.Card{MB: 14_400, Pace: 15, Read: 15}
+	var cards []routes.Card
+	cards = append(cards, slices.Repeat([]routes.Card{fast}, 4)...)
+	cards = append(cards, slices.Repeat([]routes.Card{middle}, 9)...)
+	cards = append(cards, slices.Repeat([]routes.Card{small}, 14)...)
+	servers := fleet(cards...)
+	for i := range servers {
+		servers[i].Slots = 192
+	}
+	return servers
+}
+
+// Symptom: streams are slow on a quiet day, and servers use little of their memory. Sequence:
+// requests take little memory; a copy is widened all the same, until its servers have room for
+// three times as many requests as its first one has slots. Cause: the part of the memory that
+// layers may take was a constant, whatever requests take and however many can begin.
+func TestACopyIsNoWiderThanItsFirstServerHasSlots(t *testing.T) {
+	g := NewWithT(t)
+	engine, servers := lean(), leanFleet()
+	apply(t, engine, servers, spread.Layout(engine, servers))
+	first := servers[0]
+	g.Expect(first.Holds.From).To(BeZero())
+	room := engine.Room(first.Card, first.Holds.Len()) / float64(first.Holds.Len()) / engine.Usual()
+	t.Logf("the first server of the fast copy has %v and room for %.0f requests", first.Holds, room)
+	g.Expect(room).To(BeNumerically(">", 192))
+	g.Expect(room).To(BeNumerically("<", 1.5*192))
+	heads := 0
+	for _, s := range servers {
+		if s.Holds.From == 0 && s.Holds.Len() > 0 {
+			heads++
+		}
+	}
+	g.Expect(heads).To(BeNumerically(">=", 3), "servers that can be first")
+}
+
+// Symptom: first events are late in a data centre that has spare servers. Sequence: its only
+// server with the first layers has fewer slots than memory; a server comes that holds nothing.
+// Cause: the first layer looks as strong as the others, by memory.
+func TestAnEmptyServerGoesWhereRequestsBeginIfSlotsAreShort(t *testing.T) {
+	g := NewWithT(t)
+	engine := lean()
+	for slots, begins := range map[int]bool{64: true, 1000: false} {
+		servers := fleet(big, big, big, small)
+		for i, holds := range []api.Layers{{From: 0, To: 26}, {From: 26, To: 54}, {From: 54, To: 80}} {
+			servers[i].Holds, servers[i].Slots = holds, slots
+		}
+		servers[3].Slots = slots
+		orders := spread.Plan(engine, servers)
+		g.Expect(orders).To(HaveLen(1))
+		g.Expect(orders[0].Layers.From == 0).To(Equal(begins), "with %d slots: %v", slots, orders[0].Layers)
+	}
+}
--- a/internal/core/spread/strength.go
+++ b/internal/core/spread/strength.go
@@ -22,11 +22,28 @@
 func (p *plan) layers() []layer {
 	layers := make([]layer, p.engine.Layers)
 	for _, s := range p.servers {
-		add(layers, s.planned(), layer{p.strength(s, s.planned()), 1})
+		strength := p.strength(s, s.planned())
+		add(layers, s.planned(), layer{strength, 1})
+		add(layers, s.planned().Overlap(firstLayer), layer{p.atFirst(s, strength) - strength, 0})
 	}
 	return layers
 }
 
+// firstLayer is where requests begin.
+var firstLayer = api.Layers{From: 0, To: 1}
+
+// atFirst is how much a server adds to the first layer: what begins there needs a slot, too.
+//
+// What can go wrong: first servers have memory for more requests than slots. The first
+// layer looks as strong as the others, so spare servers stand elsewhere while requests
+// queue up to begin.
+func (p *plan) atFirst(s Server, strength float64) float64 {
+	if s.Slots == 0 {
+		return strength
+	}
+	return min(strength, float64(s.Slots)*p.engine.Usual()/max(s.Card.Pace, 0.1)/max(s.Pace, 1))
+}
+
 // weakest is the window of a length that most needs another server.
 func (p *plan) weakest(length int, fits func(api.Layers) bool) api.Layers {
 	layers := p.layers()
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -243,7 +243,7 @@
 		if s.DataCentre != p.parts.Settings.DataCentre {
 			continue
 		}
-		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Holds: span(s.Holds), Pace: paces[s.ID], Used: used[s.ID]}
+		server := spread.Server{ID: s.ID, Card: service.Engine.Cards[s.Card], Slots: s.Slots, Holds: span(s.Holds), Pace: paces[s.ID], Used: used[s.ID]}
 		if order, ok := p.pending[s.ID]; ok && (server.Holds == order.layers || now > order.until) {
 			delete(p.pending, s.ID)
 			delete(p.refusals, s.ID)
@@ -311,7 +311,7 @@
 	}
 	for _, s := range p.last[service.Name] {
 		if !present[s.ID] && !s.Lost {
-			p.lost[s.ID] = lostServer{server: spread.Server{ID: s.ID, Card: s.Card, Holds: s.Holds, Lost: true}, service: service.Name, until: now + lostGrace}
+			p.lost[s.ID] = lostServer{server: spread.Server{ID: s.ID, Card: s.Card, Slots: s.Slots, Holds: s.Holds, Lost: true}, service: service.Name, until: now + lostGrace}
 		}
 	}
 	p.last[service.Name] = servers
