--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -241,8 +241,8 @@
 	return 1 + min((max(used, easy)-easy)/(1-used), fullCost)
 }
 
-// firstCost is what is added to a path that begins at a server. slowest is the price of the
-// request on the slowest cards.
+// firstCost is what is added to a path that begins at a server. slowest is what the request
+// costs on the slowest cards.
 func (f *Fleet) firstCost(k *known, request Request, slowest float64) float64 {
 	cost := f.slotCost(k, slowest)
 	if k.DataCentre != request.DataCentre {
--- a/internal/core/backends/slots.go
+++ b/internal/core/backends/slots.go
@@ -15,13 +15,13 @@
 )
 
 // slotCost is the price of beginning at a server, by how many of its slots are taken.
+// slowest is what the request costs on the slowest cards.
 //
 // What can go wrong: one server is the first of the cheapest path, and has memory for more
-// requests than slots. What is sent to it beyond waits in its queue, where it takes memory
-// on the whole path; so the streams that run get slower, more of them run at once, and the
-// queue lasts though the cause is over. One notices that all answers of a data centre have
-// late first events, while other servers with the first layers idle.
-// slowest is the price of the request on the slowest cards.
+// requests than slots. Streams get slow for a while, more of them run at once, and what is
+// sent to it beyond its slots waits in its queue. Where requests come about as fast as it
+// ends them, the queue lasts though the cause is over. One notices that all answers of a
+// data centre have late first events, while other servers with the first layers idle.
 func (f *Fleet) slotCost(k *known, slowest float64) float64 {
 	if k.Slots <= 0 {
 		return 0
@@ -39,9 +39,9 @@
 	return slowest
 }
 
-// expectedRunning is how many requests all VMs have sent to a server, as far as this one
-// knows. While it has no sum, which is so after a start, the others are taken to do as it
-// does.
+// expectedRunning is how many requests of all VMs run at a server or wait there, as far as
+// this VM knows. While it has no sum, which is so after a start, the others are taken to do
+// as it does.
 func (f *Fleet) expectedRunning(k *known) int {
 	if f.others == 0 && f.live > 1 {
 		return k.used.Running * f.live
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -150,9 +150,9 @@
 // leaves what another copy needs.
 //
 // What can go wrong: requests take little memory, and a copy is widened to have room for
-// twice as many as its first server has slots. The room is never used, while each token
-// passes half as many servers more, of which a smaller part is fast ones. One notices
-// streams that are slow on a quiet day, and servers that use little of their memory.
+// more of them than its first server has slots. The room is never used, while each token
+// passes more servers, and more layers lie on slow ones. One notices streams that are slow
+// on a quiet day, and servers that use little of their memory.
 func widen(engine *routes.Engine, servers []Server, n int, next float64) int {
 	another := next*float64(total(engine, servers[n:])) >= float64(engine.Layers)
 	for n < len(servers) && servers[n].Card == servers[n-1].Card && narrow(engine, servers[:n]) {
