--- a/internal/core/backends/slots_test.go
+++ b/internal/core/backends/slots_test.go
@@ -40,9 +40,9 @@
 	for range vms {
 		f := backends.New()
 		// Three copies of the layers: a fast one, and two slow ones.
-		for copy, card := range []string{"fast", "slow", "slow"} {
+		for lane, card := range []string{"fast", "slow", "slow"} {
 			for part := range 4 {
-				s := server(fmt.Sprintf("s%d%d", copy, part), "a", card, part*20, part*20+20)
+				s := server(fmt.Sprintf("s%d%d", lane, part), "a", card, part*20, part*20+20)
 				s.Slots = slots
 				f.Put(0, s)
 			}
