--- a/internal/core/backends/bench_test.go
+++ b/internal/core/backends/bench_test.go
@@ -20,11 +20,13 @@
 }
 
 // BenchmarkPath is the choice of one request's path.
-func BenchmarkPath(b *testing.B) {
-	for _, n := range []int{33, 86, 770, 3000} {
+func BenchmarkPath(b *testing.B) { benchmarkPath(b, fleetOf, 33, 86, 770, 3000) }
+
+func benchmarkPath(b *testing.B, fleet func(int) []backends.Server, sizes ...int) {
+	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			f := backends.New()
-			f.Replace(0, fleetOf(n), 1)
+			f.Replace(0, fleet(n), 1)
 			for b.Loop() {
 				if _, err := f.Path(0, service(), request()); err != nil {
 					b.Fatal(err)
@@ -67,16 +69,4 @@
 
 // BenchmarkUnlikePath is the choice of one request's path over servers with ranges of unlike
 // lengths.
-func BenchmarkUnlikePath(b *testing.B) {
-	for _, n := range []int{33, 106, 195, 770} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			f := backends.New()
-			f.Replace(0, unlikeFleet(n), 1)
-			for b.Loop() {
-				if _, err := f.Path(0, service(), request()); err != nil {
-					b.Fatal(err)
-				}
-			}
-		})
-	}
-}
+func BenchmarkUnlikePath(b *testing.B) { benchmarkPath(b, unlikeFleet, 33, 106, 195, 770) }
--- a/internal/core/backends/crowd_test.go
+++ b/internal/core/backends/crowd_test.go
@@ -109,9 +109,12 @@
 }
 
 // others is the sum of what all VMs but one have told.
-func (c *crowd) others(but int) map[string]backends.Usage {
+func (c *crowd) others(but int) map[string]backends.Usage { return sumOf(c.told, but) }
+
+// sumOf adds up what all VMs but one have told.
+func sumOf(told []map[string]backends.Usage, but int) map[string]backends.Usage {
 	sum := make(map[string]backends.Usage)
-	for i, loads := range c.told {
+	for i, loads := range told {
 		if i == but {
 			continue
 		}
--- a/internal/core/backends/slots_test.go
+++ b/internal/core/backends/slots_test.go
@@ -75,15 +75,7 @@
 		told[i] = f.Loads()
 	}
 	for i, f := range q.fleets {
-		sum := make(map[string]backends.Usage)
-		for j, loads := range told {
-			for id, load := range loads {
-				if i != j {
-					sum[id] = sum[id].Plus(load)
-				}
-			}
-		}
-		f.Heard(sum, len(q.fleets)-1)
+		f.Heard(sumOf(told, i), len(q.fleets)-1)
 	}
 }
 
