Log and count the request rates that backend servers set

Now 4214 and 4215 say when a VM hears a rate and its end, 4216 that one can't be read, and a counter tells attempts at limited servers by kind (first, repeat, resume). No decision depends on it yet.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 )
 
@@ -107,6 +108,8 @@
 	outage   bool
 	// sums is what the requests of all other VMs take on servers.
 	sums map[string]Usage
+	// limits are the request rates that servers set.
+	limits *ratelimit.Limits
 	// others is how many VMs they are, and live how many VMs there are, this one included,
 	// whether or not they are in the sums yet.
 	others, live int
@@ -118,7 +121,7 @@
 
 // New makes an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), unreached: make(map[string]time.Duration)}
+	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), limits: ratelimit.New(), unreached: make(map[string]time.Duration)}
 }
 
 // Serve takes the services of the configuration in force.
@@ -248,6 +251,7 @@
 	if k, ok := f.servers[id]; ok {
 		f.index.remove(k)
 		delete(f.servers, id)
+		f.limits.Forget(id)
 	}
 }
 
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -85,6 +85,7 @@
 	if x.route.Repeat == routes.Once {
 		transport = h.fresh
 	}
+	h.countLimited(x, o)
 	x.sends++
 	begun := time.Now()
 	o.begun = bootclock.Now()
@@ -95,6 +96,9 @@
 	}
 	o.response = response
 	answer := h.Wire.Answer(response)
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		h.saidRate(x, o, answer.PerSecond)
+	}
 	if answer.NotRun {
 		o.settle()
 		return h.notTaken(x, o, answer, time.Since(begun))
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -75,12 +75,14 @@
 	suspects      *suspects
 	// lateLines bounds the lines on late answers.
 	lateLines *rate.Limiter
+	// rateLines bounds the lines on servers' request rates.
+	rateLines *rate.Limiter
 }
 
 // New makes a handler.
 func New(options Options) *Handler {
 	pooled, fresh := wire.Transports(connectTimeout, nil, idlePerServer)
-	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), lateLines: rate.NewLimiter(latePerSecond, lateBurst), watches: watches{all: make(map[*watchdog]struct{})}}
+	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), lateLines: rate.NewLimiter(latePerSecond, lateBurst), rateLines: rate.NewLimiter(ratesPerSecond, ratesBurst), watches: watches{all: make(map[*watchdog]struct{})}}
 }
 
 // InFlight is the number of requests that are being served.
--- /dev/null
+++ b/internal/relay/limits.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
+	"oleandershunt.example/oleandershunt/internal/telemetry"
+)
+
+// The bounds of lines on servers' rates, which may change with each answer.
+const (
+	ratesPerSecond = 5
+	ratesBurst     = 20
+)
+
+// saidRate takes the rate that a server set in its answer.
+func (h *Handler) saidRate(x *exchange, o *opened, perSecond float64) {
+	server := o.choice.First.ID
+	if math.IsNaN(perSecond) {
+		if h.rateLines.Allow() {
+			telemetry.RateUnread.Log(h.Log, "server", server, "request", x.call.ID)
+		}
+		return
+	}
+	var news bool
+	h.Dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
+		news = fleet.SaidRate(now, o.begun, server, perSecond)
+	})
+	switch {
+	case !news || !h.rateLines.Allow():
+	case perSecond == ratelimit.Unlimited:
+		telemetry.RateEnded.Log(h.Log, "server", server, "request", x.call.ID)
+	default:
+		telemetry.RateSet.Log(h.Log, "server", server, "perSecond", perSecond, "request", x.call.ID)
+	}
+}
+
+// The kinds of attempts.
+const (
+	attemptFirst  = "first"
+	attemptRepeat = "repeat"
+	attemptResume = "resume"
+)
+
+// attemptKind is what the request's next attempt is.
+func (x *exchange) attemptKind() string {
+	switch {
+	case x.events > 0:
+		return attemptResume
+	case x.sends > 0:
+		return attemptRepeat
+	default:
+		return attemptFirst
+	}
+}
+
+// countLimited counts an attempt at a server that sets a rate.
+func (h *Handler) countLimited(x *exchange, o *opened) {
+	var limited bool
+	h.Dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { limited = fleet.Limited(o.choice.First.ID) })
+	if limited {
+		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_limited_attempts_total{kind=%q}", x.attemptKind())).Inc()
+	}
+}
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -55,6 +55,9 @@
 	// Blame is the address of the server on the path that is at fault. Empty
 	// when it is the first one, or unknown.
 	Blame string
+	// PerSecond is the requests a second that the server takes from all VMs together:
+	// ratelimit.Unlimited where it sets no rate, NaN where that can't be read.
+	PerSecond float64
 }
 
 // Wire translates messages. It decides nothing.
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -15,6 +15,9 @@
 	RelayWaits          = Event{4212, "path is silent; the request waits, since it can't be resumed now"}
 	RelayLate           = Event{4213, "answer was late"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
+	RateSet             = Event{4214, "backend server sets a request rate"}
+	RateEnded           = Event{4215, "backend server sets no request rate any more"}
+	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
 )
 
 // Events of the process that forwards requests.
