Read the server of an attempt as it was sent

The race detector found it in TestARefusalBesideAMoveIsSafe once servers' rates were noted: an answer's server was read from the choice that a move of the stream, begun meanwhile, writes. The head of the request was made of the same field, with the same race from a move that another VM's word begins.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,6 +47,8 @@
 	response *http.Response
 	choice   backends.Choice
 	load     backends.Load
+	// sent is the choice as it was when the request was sent; a move changes choice.
+	sent backends.Choice
 	// begun is when the request was sent, by bootclock.
 	begun  time.Duration
 	cancel context.CancelCauseFunc
@@ -80,7 +82,7 @@
 // send makes the attempt and reads the head of its answer.
 func (h *Handler) send(x *exchange, o *opened) fate {
 	ctx, sent := wire.WatchSent(o.ctx)
-	request := h.outgoing(ctx, x, o.choice)
+	request := h.outgoing(ctx, x, o.sent)
 	transport := h.pooled
 	if x.route.Repeat == routes.Once {
 		transport = h.fresh
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -62,7 +62,7 @@
 		if err == nil {
 			x.timing.room += time.Since(begun)
 			ctx, cancel := context.WithCancelCause(x.ctx)
-			return &opened{choice: choice, load: load, ctx: ctx, cancel: cancel}, nil
+			return &opened{choice: choice, sent: choice, load: load, ctx: ctx, cancel: cancel}, nil
 		}
 		if request.Force {
 			x.detail = err.Error()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -20,7 +20,7 @@
 
 // saidRate takes the rate that a server set in its answer.
 func (h *Handler) saidRate(x *exchange, o *opened, perSecond float64) {
-	server := o.choice.First.ID
+	server := o.sent.First.ID
 	if math.IsNaN(perSecond) {
 		if h.rateLines.Allow() {
 			telemetry.RateUnread.Log(h.Log, "server", server, "request", x.call.ID)
@@ -62,7 +62,7 @@
 // countLimited counts an attempt at a server that sets a rate.
 func (h *Handler) countLimited(x *exchange, o *opened) {
 	var limited bool
-	h.Dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { limited = fleet.Limited(o.choice.First.ID) })
+	h.Dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { limited = fleet.Limited(o.sent.First.ID) })
 	if limited {
 		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_limited_attempts_total{kind=%q}", x.attemptKind())).Inc()
 	}
