Keep to the request rates that servers set, over all VMs together

Callers saw nothing: all requests of the incident were served.

Cause: the rate in a server's answer was read by nobody; requests were bounded by memory and slots only. Class: a word in a server's answer that the product has no decision for. It can't be kept by a VM from its own counts: the bound is over all VMs, and at 68 and 300 VMs a burst of one from each is more than a server takes in the whole window.

Now VMs tell one another the rates that they hear (with the sums of loads), each with its age; the newest word counts, and the end of a limit is told for 5 s and again to who missed it. Which VMs send to a limited server each finds by itself: as many of its data centre as have a request a second each, by rendezvous hashing; each has an equal part of 0.9 of the rate and a burst of one, empty when it begins. A VM that doesn't know the others yet sends nothing there. All else begins at other servers; a limited one still runs later layers. First attempts, repeats and resumptions all pass the one place that takes the token. What can't be sent within its wait is refused at once (servers_limited), with the time at which its turn would come.

Without an answer a rate holds on: users go on asking, so its end is found; a rate of 0 counts as one request in 4 s.

--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -30,6 +30,8 @@
 	Force bool
 	// Version is the version of the weights that must run it. 0 is any.
 	Version int
+	// anyRate leaves the request rates of servers out of account.
+	anyRate bool
 }
 
 // Choice is where an attempt goes.
@@ -103,16 +105,21 @@
 )
 
 // Path chooses the servers that run a request through all layers of a model. An
-// error that wraps ErrFull says that there are paths, but none with room.
+// error that wraps ErrFull says that there are paths, but none with room; a LimitError that
+// the servers with the first layers are at their request rates.
 func (f *Fleet) Path(now time.Duration, service routes.Service, request Request) (Choice, error) {
 	if choice, ok := f.choose(now, service, request); ok {
 		return choice, nil
 	}
+	forced := request
+	forced.Force = true
+	if _, ok := f.choose(now, service, forced); ok && !request.Force {
+		return Choice{}, ErrFull
+	}
+	if err := f.limited(now, service, request); err != nil {
+		return Choice{}, err
+	}
 	if !request.Force {
-		request.Force = true
-		if _, ok := f.choose(now, service, request); ok {
-			return Choice{}, ErrFull
-		}
 		return Choice{}, ErrNoServer // it is looked again, and this is not told anybody
 	}
 	return Choice{}, fmt.Errorf("%w: layers %s of service %s have no holder", ErrNoServer, f.missing(now, service, request), service.Name)
@@ -204,6 +211,8 @@
 				Cost:    f.layerCost(now, k, service.Engine, held, request),
 				Hop:     hopCost * request.Answer,
 				First:   f.firstCost(k, request, slowest),
+
+				NotFirst: !f.mayBegin(now, k.ID, request),
 			})
 		}
 	}
@@ -275,7 +284,7 @@
 	var best *known
 	least := 0.0
 	for _, k := range f.servers {
-		if k.Service != service || !f.mayTake(now, k, request) {
+		if k.Service != service || !f.mayTake(now, k, request) || !f.mayBegin(now, k.ID, request) {
 			continue
 		}
 		load := float64(f.expectedRunning(k)) / float64(max(k.Slots, 1))
@@ -286,6 +295,11 @@
 			best, least = k, load
 		}
 	}
+	if best == nil && !request.anyRate {
+		if err := f.limited(now, routes.Service{Name: service}, request); err != nil {
+			return Choice{}, err
+		}
+	}
 	if best == nil {
 		return Choice{}, fmt.Errorf("%w: service %s has no server that is ready", ErrNoServer, service)
 	}
--- a/internal/core/chain/chain.go
+++ b/internal/core/chain/chain.go
@@ -21,6 +21,8 @@
 	// Cost is the price of one layer on this server, Hop that of a change to it, and
 	// First what is added when it is the first one.
 	Cost, Hop, First float64
+	// NotFirst says that no path may begin here.
+	NotFirst bool
 }
 
 // Part is one server's range on a path.
@@ -155,6 +157,8 @@
 		h, over := s.holders[i], s.spans[i]
 		entry := s.best[here].cost + h.Hop
 		switch {
+		case begins && h.NotFirst:
+			continue
 		case begins:
 			entry += h.First
 		case place != over.place && math.IsInf(s.cross, 1):
--- a/internal/core/chain/chain_test.go
+++ b/internal/core/chain/chain_test.go
@@ -158,3 +158,18 @@
 		}
 	})
 }
+
+// Guards against: a path begins at a server that may not get the request.
+func TestAPathBeginsWhereItMay(t *testing.T) {
+	g := NewWithT(t)
+	limited := holder("a", 0, 40, 1)
+	limited.NotFirst = true
+	path, ok := chain.Find(0, 40, "", 1, []chain.Holder{limited, holder("b", 0, 10, 5)})
+	g.Expect(ok).To(BeTrue())
+	g.Expect(path).To(Equal(chain.Path{
+		{ID: "b", Address: "b:1", Layers: api.Layers{From: 0, To: 10}},
+		{ID: "a", Address: "a:1", Layers: api.Layers{From: 10, To: 40}},
+	}))
+	_, ok = chain.Find(0, 40, "", 1, []chain.Holder{limited})
+	g.Expect(ok).To(BeFalse())
+}
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -13,6 +13,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
 // The figures of a hub.
@@ -36,10 +37,12 @@
 	// Full are the servers that refused one of their requests for want of room a moment
 	// ago, and how long they are held to be full.
 	Full map[string]time.Duration
+	// Rates are the request rates that servers set, the newest word on each.
+	Rates map[string]ratelimit.Word
 }
 
 func empty() Tally {
-	return Tally{Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
+	return Tally{Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Word)}
 }
 
 func (t *Tally) add(other Tally) {
@@ -56,6 +59,11 @@
 	for id, span := range other.Full {
 		t.Full[id] = max(t.Full[id], span)
 	}
+	for id, word := range other.Rates {
+		if known, ok := t.Rates[id]; !ok || word.At > known.At {
+			t.Rates[id] = word
+		}
+	}
 }
 
 // report is what was told, and when.
--- a/internal/core/tally/tally_test.go
+++ b/internal/core/tally/tally_test.go
@@ -8,6 +8,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
 
@@ -16,6 +17,7 @@
 		VMs: vms, Loads: map[string]backends.Usage{"s1": {Memory: load, Running: vms}},
 		Counts: map[string]budget.Count{"llm": {Requests: 10 * repeats, Repeats: repeats}},
 		Full:   map[string]time.Duration{"s2": 200 * time.Millisecond},
+		Rates:  map[string]ratelimit.Word{"s3": {PerSecond: 6.5, At: time.Second}},
 	}
 }
 
@@ -54,3 +56,16 @@
 	g.Expect(later.Counts["llm"].Repeats).To(Equal(6))
 	g.Expect(hub.Others(tally.CountsKept+time.Millisecond, "vm-2").Counts).To(BeEmpty())
 }
+
+// Guards against: VMs hear an old word on a server's rate after a newer one.
+func TestTheNewestWordOnARateIsTold(t *testing.T) {
+	g := NewWithT(t)
+	hub := tally.NewHub("a")
+	older, newer := of(1, 100, 1), of(1, 100, 1)
+	newer.Rates["s3"] = ratelimit.Word{PerSecond: ratelimit.Unlimited, At: 2 * time.Second}
+	hub.Report(0, "vm-1", newer)
+	hub.Report(0, "vm-2", older)
+	hub.ReportFar(0, "b", older)
+	g.Expect(hub.Others(0, "vm-3").Rates).To(Equal(newer.Rates))
+	g.Expect(hub.Others(tally.Fresh+1, "vm-3").Rates).To(BeEmpty(), "the word of a VM that is gone")
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -82,6 +82,9 @@
 	if len(s.Seeds) == 0 {
 		dispatcher.Live(1)
 	}
+	if s.Peers == "" {
+		dispatcher.Members(s.VM, []lease.VM{{Name: s.VM, DataCentre: s.DataCentre}})
+	}
 	config := newConfigReader(p, dispatcher)
 	stop := newStopper(p)
 	handler := relay.New(relay.Options{
--- a/internal/edge/fuzz_test.go
+++ b/internal/edge/fuzz_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 	"google.golang.org/protobuf/proto"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
 )
@@ -17,9 +19,9 @@
 func FuzzTally(f *testing.F) {
 	for _, told := range []tally.Tally{
 		{},
-		{VMs: 3, Loads: map[string]backends.Usage{"s1": {Memory: 4 * loadUnit, Running: 3}}, Counts: map[string]budget.Count{"app": {Requests: 9, Repeats: 2}}},
+		{VMs: 3, Loads: map[string]backends.Usage{"s1": {Memory: 4 * loadUnit, Running: 3}}, Counts: map[string]budget.Count{"app": {Requests: 9, Repeats: 2}}, Rates: map[string]ratelimit.Word{"s1": {PerSecond: 6.5, At: -time.Second}}},
 	} {
-		data, err := proto.Marshal(wireTally(told))
+		data, err := proto.Marshal(wireTally(told, 0))
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -32,7 +34,7 @@
 		if proto.Unmarshal(data, &wire) != nil {
 			return
 		}
-		read := readTally(&wire)
+		read := readTally(&wire, 0)
 		g.Expect(read.VMs).To(BeNumerically(">=", 0))
 		for id, load := range read.Loads {
 			g.Expect(load.Memory).To(BeNumerically(">=", 0), id)
@@ -42,9 +44,14 @@
 			g.Expect(count.Requests).To(BeNumerically(">=", 0), service)
 			g.Expect(count.Repeats).To(BeNumerically(">=", 0), service)
 		}
-		again := readTally(wireTally(read))
+		for id, word := range read.Rates {
+			g.Expect(word.PerSecond).To(BeNumerically(">=", 0), id)
+			g.Expect(word.At).To(BeNumerically("<=", 0), id)
+		}
+		again := readTally(wireTally(read, 0), 0)
 		g.Expect(again.VMs).To(Equal(read.VMs))
 		g.Expect(again.Counts).To(Equal(read.Counts))
+		g.Expect(again.Rates).To(Equal(read.Rates))
 		for id, load := range again.Loads {
 			g.Expect(load).To(Equal(read.Loads[id]))
 		}
--- a/internal/edge/reach.go
+++ b/internal/edge/reach.go
@@ -93,9 +93,8 @@
 	t.mu.Unlock()
 	answer, err := t.tell(ctx, ranked[0], t.dataCentre, near, reachTimeout)
 	if err == nil {
-		theirs := readTally(answer.GetTally())
 		t.mu.Lock()
-		t.hub.ReportFar(bootclock.Now(), dataCentre, theirs)
+		t.hub.ReportFar(bootclock.Now(), dataCentre, answer.tally)
 		t.mu.Unlock()
 	}
 	if !t.reaches.heard(dataCentre, ranked[0], len(ranked), err) {
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -12,6 +12,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
@@ -53,6 +54,8 @@
 	dialer           *peer.Dialer
 	// everywhere lists the VMs that live, of all data centres, this one included.
 	everywhere func() []lease.VM
+	// settled tells whether the VMs had time to get to know one another.
+	settled func() bool
 	// proof is what is in force, and since when it is proven. The hub reads the
 	// configuration for its data centre, so what it says is the newest there is.
 	//
@@ -78,7 +81,7 @@
 func newTallies(talk *peers, proof *proofKeeper) *tallies {
 	return &tallies{
 		self: talk.self, dataCentre: talk.dataCentre, dispatcher: talk.dispatcher, dialer: talk.dialer, log: talk.log, proof: proof, reaches: newReaches(),
-		everywhere: talk.everywhere, hub: tally.NewHub(talk.dataCentre),
+		everywhere: talk.everywhere, settled: talk.settled, hub: tally.NewHub(talk.dataCentre),
 	}
 }
 
@@ -103,6 +106,9 @@
 	if len(everywhere) > 1 {
 		t.dispatcher.Live(len(everywhere))
 	}
+	if t.settled() {
+		t.dispatcher.Members(t.self, everywhere)
+	}
 	ranked := lease.Rank(dutyTally, t.dataCentre, everywhere)
 	own := t.own()
 	t.mu.Lock()
@@ -113,11 +119,11 @@
 		return
 	}
 	if hub := ranked[0].Name; hub != t.self {
-		answer, err := t.tell(ctx, hub, "", own, tallyTimeout)
+		heard, err := t.tell(ctx, hub, "", own, tallyTimeout)
 		if err == nil {
-			t.unreached(answer.GetUnreached())
+			t.unreached(heard.unreached)
 		}
-		t.learn(readTally(answer.GetTally()), err == nil)
+		t.learn(heard.tally, err == nil)
 		return
 	}
 	for dataCentre, far := range t.reaches.update(bootclock.Now(), ranked, t.dataCentre) {
@@ -133,7 +139,7 @@
 func (t *tallies) own() tally.Tally {
 	own := tally.Tally{VMs: 1, Counts: t.dispatcher.Repeats()}
 	t.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
-		own.Loads, own.Full = fleet.Loads(), fleet.FullNow(now)
+		own.Loads, own.Full, own.Rates = fleet.Loads(), fleet.FullNow(now), fleet.Rates(now)
 	})
 	return own
 }
@@ -153,36 +159,44 @@
 	}
 }
 
+// heard is what a VM answers to a telling.
+type heard struct {
+	tally tally.Tally
+	// unreached are the data centres out of reach.
+	unreached []string
+}
+
 // tell tells a VM, and returns what it answers; the proof in it is taken over. When it
 // doesn't answer, the next round tells again, to another one if it is gone, and meanwhile what
 // is known grows old.
-func (t *tallies) tell(ctx context.Context, vm, dataCentre string, said tally.Tally, within time.Duration) (*tallyv1.TellResponse, error) {
+func (t *tallies) tell(ctx context.Context, vm, dataCentre string, said tally.Tally, within time.Duration) (heard, error) {
 	client, url, err := t.dialer.Endpoint(vm)
 	if err != nil {
-		return nil, err
+		return heard{}, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	// Some kilobytes of names and numbers: compression would cost small VMs more than
 	// it saves.
 	service := tallyv1connect.NewTallyServiceClient(client, url, connect.WithAcceptCompression("gzip", nil, nil))
-	request := &tallyv1.TellRequest{Vm: t.self, DataCentre: dataCentre, Tally: wireTally(said)}
 	sent := bootclock.Now()
+	request := &tallyv1.TellRequest{Vm: t.self, DataCentre: dataCentre, Tally: wireTally(said, sent)}
 	answer, err := service.Tell(ctx, connect.NewRequest(request))
 	if err != nil {
-		return nil, err
+		return heard{}, err
 	}
 	if age := answer.Msg.ProofAgeMicros; age != nil {
-		// As for a question, the age counts from before it was worked out.
+		// As for a question, ages count from before they were worked out.
 		t.proof.renew(answer.Msg.GetConfigVersion(), sent-peer.Age(*age))
 	}
-	return answer.Msg, nil
+	return heard{tally: readTally(answer.Msg.GetTally(), sent), unreached: answer.Msg.GetUnreached()}, nil
 }
 
 // Tell implements tallyv1connect.TallyServiceHandler. To a VM it answers with all others'
 // sum, to another data centre's hub with that of this data centre.
 func (t *tallies) Tell(_ context.Context, request *connect.Request[tallyv1.TellRequest]) (*connect.Response[tallyv1.TellResponse], error) {
-	said, now := readTally(request.Msg.GetTally()), bootclock.Now()
+	now := bootclock.Now()
+	said := readTally(request.Msg.GetTally(), now)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	answer := tally.Tally{}
@@ -195,15 +209,20 @@
 	}
 	proof := t.proof.get()
 	return connect.NewResponse(&tallyv1.TellResponse{
-		Tally: wireTally(answer), ConfigVersion: proof.object.Version, ProofAgeMicros: proof.proofAge(), Unreached: t.reaches.lost(),
+		Tally: wireTally(answer, now), ConfigVersion: proof.object.Version, ProofAgeMicros: proof.proofAge(), Unreached: t.reaches.lost(),
 	}), nil
 }
 
-func wireTally(from tally.Tally) *tallyv1.Tally {
+// wireTally makes a tally's message, with ages up to now.
+func wireTally(from tally.Tally, now time.Duration) *tallyv1.Tally {
 	to := &tallyv1.Tally{Vms: uint32(from.VMs), Counts: make(map[string]*tallyv1.Count, len(from.Counts))}
 	for id, span := range from.Full {
 		to.Full, to.FullMillis = append(to.Full, id), append(to.FullMillis, uint32(span.Milliseconds()))
 	}
+	for id, word := range from.Rates {
+		to.Limited, to.PerSecond = append(to.Limited, id), append(to.PerSecond, word.PerSecond)
+		to.SaidAgeMicros = append(to.SaidAgeMicros, uint64(max(now-word.At, 0).Microseconds()))
+	}
 	for id, load := range from.Loads {
 		if units := uint32(load.Memory / loadUnit); units > 0 || load.Running > 0 {
 			to.Servers, to.Loads = append(to.Servers, id), append(to.Loads, units)
@@ -216,8 +235,9 @@
 	return to
 }
 
-func readTally(from *tallyv1.Tally) tally.Tally {
-	to := tally.Tally{VMs: int(from.GetVms()), Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration)}
+// readTally reads a tally whose ages count up to a moment.
+func readTally(from *tallyv1.Tally, at time.Duration) tally.Tally {
+	to := tally.Tally{VMs: int(from.GetVms()), Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration), Rates: readRates(from, at)}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
 			to.Full[id] = time.Duration(from.GetFullMillis()[i]) * time.Millisecond
@@ -238,3 +258,17 @@
 	}
 	return to
 }
+
+// readRates reads the words on servers' request rates. One that holds no rate is left out.
+func readRates(from *tallyv1.Tally, at time.Duration) map[string]ratelimit.Word {
+	words := make(map[string]ratelimit.Word)
+	for i, id := range from.GetLimited() {
+		if i >= min(len(from.GetPerSecond()), len(from.GetSaidAgeMicros())) {
+			break
+		}
+		if perSecond := from.GetPerSecond()[i]; perSecond >= 0 {
+			words[id] = ratelimit.Word{PerSecond: perSecond, At: at - peer.Age(from.GetSaidAgeMicros()[i])}
+		}
+	}
+	return words
+}
--- a/internal/edge/tally_test.go
+++ b/internal/edge/tally_test.go
@@ -21,9 +21,9 @@
 	hub := &tallies{self: "vm-1", dataCentre: "a", hub: tally.NewHub("a"), proof: newProofKeeper(), reaches: newReaches()}
 	tell := func(vm, dataCentre string, units float64) tally.Tally {
 		said := tally.Tally{VMs: 1, Loads: map[string]backends.Usage{"s1": {Memory: units * loadUnit, Running: 2}}, Counts: map[string]budget.Count{"llm": {Requests: 4, Repeats: 1}}, Full: map[string]time.Duration{"s9": 400 * time.Millisecond}}
-		answer, err := hub.Tell(context.Background(), connect.NewRequest(&tallyv1.TellRequest{Vm: vm, DataCentre: dataCentre, Tally: wireTally(said)}))
+		answer, err := hub.Tell(context.Background(), connect.NewRequest(&tallyv1.TellRequest{Vm: vm, DataCentre: dataCentre, Tally: wireTally(said, 0)}))
 		g.Expect(err).NotTo(HaveOccurred())
-		return readTally(answer.Msg.Tally)
+		return readTally(answer.Msg.Tally, 0)
 	}
 	alone := tell("vm-2", "", 5)
 	g.Expect(alone.VMs).To(BeZero(), "nobody else has told anything")
@@ -41,8 +41,8 @@
 
 func TestATallyThatIsCutShortIsReadAsFarAsItGoes(t *testing.T) {
 	g := NewWithT(t)
-	read := readTally(&tallyv1.Tally{Vms: 1, Servers: []string{"s1", "s2"}, Loads: []uint32{3}, Running: []uint32{1, 5}, Full: []string{"s1", "s2"}, FullMillis: []uint32{200}})
+	read := readTally(&tallyv1.Tally{Vms: 1, Servers: []string{"s1", "s2"}, Loads: []uint32{3}, Running: []uint32{1, 5}, Full: []string{"s1", "s2"}, FullMillis: []uint32{200}}, 0)
 	g.Expect(read.Loads).To(Equal(map[string]backends.Usage{"s1": {Memory: 3 * loadUnit, Running: 1}}))
 	g.Expect(read.Full).To(Equal(map[string]time.Duration{"s1": 200 * time.Millisecond}))
-	g.Expect(readTally(nil).VMs).To(BeZero())
+	g.Expect(readTally(nil, 0).VMs).To(BeZero())
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -57,6 +57,9 @@
 	begun := time.Now()
 	step := waitStep
 	request := h.request(x)
+	queue, limited := queue{h: h, service: x.service.Name}, new(backends.LimitError)
+	defer queue.leave()
+	x.limited, x.due = false, 0
 	for {
 		choice, load, err := h.Dispatcher.choose(x.service, request)
 		if err == nil {
@@ -64,11 +67,15 @@
 			ctx, cancel := context.WithCancelCause(x.ctx)
 			return &opened{choice: choice, sent: choice, load: load, ctx: ctx, cancel: cancel}, nil
 		}
-		if request.Force {
+		left, late := wait.over(err)-time.Since(begun), false
+		if x.limited = errors.As(err, &limited); x.limited {
+			x.due, late = queue.late(limited, left)
+		}
+		if late || request.Force {
 			x.detail = err.Error()
 			return nil, err
 		}
-		if time.Since(begun) >= wait.over(err) {
+		if left <= 0 {
 			request.Force = true
 			continue
 		}
@@ -86,6 +93,9 @@
 	if errors.Is(err, backends.ErrFull) {
 		return w.room
 	}
+	if limited := new(backends.LimitError); errors.As(err, &limited) {
+		return max(w.room, w.server)
+	}
 	return w.server
 }
 
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -9,6 +9,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
+	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
@@ -24,12 +25,14 @@
 	table  *routes.Table
 	// configured is closed when the first configuration is in force.
 	configured chan struct{}
+	// queued counts the requests that wait for a server's request rate, by service.
+	queued map[string]int
 }
 
 // NewDispatcher makes a dispatcher that knows nothing yet. now is the time since
 // the start of the VM, suspension included.
 func NewDispatcher(now func() time.Duration, retries *budget.Budget) *Dispatcher {
-	return &Dispatcher{now: now, fleet: backends.New(), budget: retries, configured: make(chan struct{})}
+	return &Dispatcher{now: now, fleet: backends.New(), budget: retries, configured: make(chan struct{}), queued: make(map[string]int)}
 }
 
 // SetTable brings a newer configuration in force. An older one is ignored, so
@@ -94,6 +97,7 @@
 	}
 	load := choice.Load(request.Prompt + request.Answer)
 	d.fleet.Begin(load)
+	d.fleet.Sent(d.now(), choice.First.ID)
 	return choice, load, nil
 }
 
@@ -162,6 +166,28 @@
 	d.budget.Heard(d.now(), others.VMs, others.Counts)
 	d.fleet.Heard(others.Loads, others.VMs)
 	d.fleet.HeardFull(d.now(), others.Full, rand.Float64())
+	d.fleet.HeardRates(d.now(), others.Rates)
+}
+
+// Members takes this VM and all that live, which share servers' request rates.
+func (d *Dispatcher) Members(self string, vms []lease.VM) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.fleet.Members(d.now(), self, vms)
+}
+
+// queue counts a request that waits for a server's request rate, until leave is called, and
+// returns how many wait before it.
+func (d *Dispatcher) queue(service string) (ahead int, leave func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	ahead = d.queued[service]
+	d.queued[service]++
+	return ahead, func() {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.queued[service]--
+	}
 }
 
 // Unreached takes the data centres that can't be reached now.
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -40,6 +40,34 @@
 	}
 }
 
+// queue is a request's place among those that wait for a server's request rate.
+type queue struct {
+	h       *Handler
+	service string
+	// out leaves the queue; nil for a request that isn't in it.
+	out func()
+}
+
+// late tells whether a request that has so long left is refused at once, since those before
+// it take what its VM may send until then. due is in what time it could be sent, 0 where
+// that isn't known.
+func (q *queue) late(limited *backends.LimitError, left time.Duration) (due time.Duration, late bool) {
+	if q.out != nil {
+		due, _ = limited.Due(0)
+		return due, false
+	}
+	var ahead int
+	ahead, q.out = q.h.Dispatcher.queue(q.service)
+	due, known := limited.Due(ahead)
+	return due, known && due > left
+}
+
+func (q *queue) leave() {
+	if q.out != nil {
+		q.out()
+	}
+}
+
 // The kinds of attempts.
 const (
 	attemptFirst  = "first"
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -32,6 +32,7 @@
 	ReasonBusy          Reason = "vm_busy"
 	ReasonNoServer      Reason = "no_server"
 	ReasonRefused       Reason = "servers_refused"
+	ReasonLimited       Reason = "servers_limited"
 	ReasonBroken        Reason = "answer_broken"
 	ReasonTimeout       Reason = "timeout"
 	ReasonNoService     Reason = "service_unknown"
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -120,5 +120,8 @@
 	if x.mayHaveRun {
 		return unknown(reason)
 	}
+	if x.limited {
+		return notRun(ReasonLimited, max(x.due, comeBack))
+	}
 	return notRun(reason, comeBack)
 }
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -17,6 +17,7 @@
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/platform"
@@ -71,6 +72,7 @@
 		})
 	}
 	d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
+	d.Members("vm-1", []lease.VM{{Name: "vm-1", DataCentre: "a"}})
 	front = httptest.NewServer(relay.New(relay.Options{
 		Log: logr.Discard(), Wire: platform.Requests{}, Engines: &engines{asked: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
 		Proven: func() bool { return true }, Patience: time.Second,
@@ -81,6 +83,11 @@
 
 // ask sends a request to a VM and returns the status of its answer, which is read whole.
 func ask(g *WithT, front *httptest.Server, id string) int {
+	return answerTo(g, front, id).StatusCode
+}
+
+// answerTo sends a request to a VM and returns the head of its answer, which is read whole.
+func answerTo(g *WithT, front *httptest.Server, id string) *http.Response {
 	request, err := http.NewRequest(http.MethodPost, front.URL+"/", strings.NewReader("{}"))
 	g.Expect(err).NotTo(HaveOccurred())
 	request.Host = "a.example"
@@ -91,7 +98,7 @@
 	defer response.Body.Close()
 	_, err = io.Copy(io.Discard, response.Body)
 	g.Expect(err).NotTo(HaveOccurred())
-	return response.StatusCode
+	return response
 }
 
 // Symptom: after a loss of power of all VMs 525 requests are refused within 0.3 s as
