--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -49,6 +49,8 @@
 	// peers are the VMs that are asked when the platform doesn't answer; nil for none.
 	peers *configPeers
 	lost  bool
+	// older says that the platform's last answer was older than what is in force.
+	older bool
 }
 
 func newConfigReader(p Parts, d *relay.Dispatcher) *configReader {
@@ -128,6 +130,7 @@
 	sent := bootclock.Now()
 	object, err := c.parts.Store.Get(ctx, c.parts.Config.Kind, c.parts.Config.Name)
 	if err == nil {
+		c.tellOlder(object)
 		c.take(object, sent)
 	} else if c.peers != nil {
 		c.peers.ask(ctx, c.keeper.get().object.Version, c.take)
@@ -135,6 +138,16 @@
 	return err
 }
 
+// tellOlder logs that the platform's configuration is older than the one in force.
+func (c *configReader) tellOlder(object objects.Object) {
+	seen := c.keeper.get().object.Version
+	older := object.Version < seen
+	if older && !c.older {
+		telemetry.PlatformOlder.Log(c.log, "kind", c.parts.Config.Kind, "revision", object.Version, "seen", seen)
+	}
+	c.older = older
+}
+
 // take brings an object in force that was the newest at a moment. One that can't
 // be read proves nothing.
 func (c *configReader) take(object objects.Object, at time.Duration) {
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -29,6 +29,8 @@
 	registered func(backends.Server)
 	// lost says that the platform doesn't answer, and no other VM that it answers.
 	lost atomic.Bool
+	// older says that the platform's last answer was older than what was seen before.
+	older atomic.Bool
 	// unread are the versions of the entries that name no server to use, by name.
 	unread map[string]uint64
 	// told keeps the entries for other VMs, and learns them from those; learns is nil
@@ -115,10 +117,14 @@
 	if !l.lost.Swap(true) {
 		telemetry.PlatformLost.Log(l.log, "cause", err.Error())
 	}
+	if older := errors.Is(err, objects.ErrStaleList); older != l.older.Swap(older) && older {
+		telemetry.PlatformOlder.Log(l.log, "kind", l.parts.Servers.Kind, "cause", err.Error())
+	}
 	l.dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { fleet.Outage() })
 }
 
 func (l *serverList) back() {
+	l.older.Store(false)
 	if l.lost.Swap(false) {
 		telemetry.PlatformBack.Log(l.log)
 	}
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -18,6 +18,7 @@
 	ConfigInForce = Event{2001, "configuration in force"}
 	PlatformLost  = Event{3001, "platform does not answer"}
 	PlatformBack  = Event{3002, "platform answers again"}
+	PlatformOlder = Event{3003, "platform's answer is older than what was seen; it is not used"}
 )
 
 // Log writes an event at the normal level.
