--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -5,9 +5,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -77,6 +79,30 @@
 	m.change(objects.WatchEvent{Object: object, Deleted: true})
 }
 
+// saved is a copy of a memory.
+type saved struct {
+	version uint64
+	objects map[string]objects.Object
+	changes []objects.WatchEvent
+}
+
+// save makes a copy.
+func (m *memory) save() saved {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return saved{version: m.version, objects: maps.Clone(m.objects), changes: slices.Clone(m.changes)}
+}
+
+// comeBack has the store go on from a copy: what was written since is gone, and its versions
+// are given out again.
+func (m *memory) comeBack(from saved) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version, m.objects, m.changes = from.version, maps.Clone(from.objects), slices.Clone(from.changes)
+	close(m.news)
+	m.news = make(chan struct{})
+}
+
 func (m *memory) setDown(down bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -143,6 +169,9 @@
 		m.failed++
 		return nil, 0, nil, objects.ErrUnavailable
 	}
+	if version > m.version {
+		return nil, 0, nil, objects.ErrCompacted
+	}
 	var fresh []objects.WatchEvent
 	for _, event := range m.changes {
 		if event.Object.Version > version && event.Object.Kind == kind {
