--- a/cmd/oleandershunt/records_show.go
+++ b/cmd/oleandershunt/records_show.go
@@ -115,7 +115,7 @@
 }
 
 func stateOf(record operator.Stored, status api.ConfigurationStatus) api.RecordStatus {
-	state, decided := status.State(record.Document.Kind, record.Document.Name, record.Version)
+	state, decided := status.State(record.Document.Kind, record.Document.Name, uint64(record.Version))
 	if !decided {
 		state.State = "undecided"
 	}
--- a/internal/claims/fleet_test.go
+++ b/internal/claims/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/claims"
 	"oleandershunt.example/oleandershunt/internal/core"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/request"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	"oleandershunt.example/oleandershunt/internal/platform"
@@ -322,7 +323,7 @@
 	return s.Client.Get(ctx, kind, name)
 }
 
-func (s pausedStore) Update(_ context.Context, kind, name string, version uint64, value any) (platform.Object, error) {
+func (s pausedStore) Update(_ context.Context, kind, name string, version history.Version, value any) (platform.Object, error) {
 	s.pause.wait()
 	// A stopped process's time limits stand still too.
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/claims/journal.go
+++ b/internal/claims/journal.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/claim"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -26,8 +27,8 @@
 type Store interface {
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	Create(ctx context.Context, kind, name string, value any) (platform.Object, error)
-	Update(ctx context.Context, kind, name string, version uint64, value any) (platform.Object, error)
-	Delete(ctx context.Context, kind, name string, version uint64) error
+	Update(ctx context.Context, kind, name string, version history.Version, value any) (platform.Object, error)
+	Delete(ctx context.Context, kind, name string, version history.Version) error
 }
 
 // Time limits of calls.
@@ -81,7 +82,7 @@
 	if errors.Is(err, platform.ErrNotFound) {
 		return claim.HeadRead{Sent: sent}
 	}
-	read := claim.HeadRead{Sent: sent, Version: object.Version}
+	read := claim.HeadRead{Sent: sent, Version: uint64(object.Version)}
 	if err != nil || json.Unmarshal(object.Value, &read.Head) != nil {
 		return claim.HeadRead{Sent: sent, Failed: true}
 	}
@@ -97,10 +98,10 @@
 	if write.IfVersion == 0 {
 		object, err = s.store.Create(ctx, KindShard, shard, write.Head)
 	} else {
-		object, err = s.store.Update(ctx, KindShard, shard, write.IfVersion, write.Head)
+		object, err = s.store.Update(ctx, KindShard, shard, history.Version(write.IfVersion), write.Head)
 	}
 	s.metrics.commit.UpdateDuration(started)
-	return claim.HeadWritten{Number: write.Number, Result: resultOf(err), Version: object.Version}
+	return claim.HeadWritten{Number: write.Number, Result: resultOf(err), Version: uint64(object.Version)}
 }
 
 // resultOf judges a write. What isn't known to have failed may have taken effect.
--- a/internal/configuration/accept.go
+++ b/internal/configuration/accept.go
@@ -145,10 +145,10 @@
 func (a *acceptor) take(n notice) bool {
 	if n.list != nil {
 		a.listed[n.kind] = true
-		return a.view.Listed(n.kind, n.list.Version, changesOf(n.list.Items), a.base)
+		return a.view.Listed(n.kind, uint64(n.list.Version), changesOf(n.list.Items), a.base)
 	}
 	if n.event.Bookmark {
-		a.view.Bookmarked(n.kind, n.event.Object.Version)
+		a.view.Bookmarked(n.kind, uint64(n.event.Object.Version))
 		return false
 	}
 	change := changeOf(n.event.Object)
@@ -167,7 +167,7 @@
 }
 
 func changeOf(object platform.Object) config.Change {
-	return config.Change{Kind: api.Kind(object.Kind), Name: object.Name, Version: object.Version, Raw: object.Value}
+	return config.Change{Kind: api.Kind(object.Kind), Name: object.Name, Version: uint64(object.Version), Raw: object.Value}
 }
 
 func (a *acceptor) rebase() {
--- a/internal/configuration/fixture_test.go
+++ b/internal/configuration/fixture_test.go
@@ -15,6 +15,7 @@
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/config"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	"oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/standin"
@@ -179,7 +180,7 @@
 func (d *deployment) write(kind api.Kind, name string, spec any) uint64 {
 	document, err := api.NewDocument(kind, name, spec)
 	d.Expect(err).NotTo(HaveOccurred())
-	var version uint64
+	var version history.Version
 	if object, err := d.operator.Get(context.Background(), string(kind), name); err == nil {
 		version = object.Version
 	}
@@ -190,7 +191,7 @@
 		object, err = d.operator.Update(context.Background(), string(kind), name, version, document)
 	}
 	d.Expect(err).NotTo(HaveOccurred())
-	return object.Version
+	return uint64(object.Version)
 }
 
 // model writes a Model record that is valid alone.
--- a/internal/configuration/manager_test.go
+++ b/internal/configuration/manager_test.go
@@ -12,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	configv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1"
 	"oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/standin"
@@ -36,11 +37,11 @@
 	first := d.model("scorer", "w1")
 	document, err := api.NewDocument(api.KindModel, "scorer", api.ModelSpec{Layers: 4, Version: "w2"})
 	d.Expect(err).NotTo(HaveOccurred())
-	winner, err := d.operator.Update(t.Context(), string(api.KindModel), "scorer", first, document)
+	winner, err := d.operator.Update(t.Context(), string(api.KindModel), "scorer", history.Version(first), document)
 	d.Expect(err).NotTo(HaveOccurred())
-	_, err = d.operator.Update(t.Context(), string(api.KindModel), "scorer", first, document)
+	_, err = d.operator.Update(t.Context(), string(api.KindModel), "scorer", history.Version(first), document)
 	d.Expect(err).To(MatchError(platform.ErrConflict))
-	d.everywhere(api.KindModel, "scorer", winner.Version, d.vms...)
+	d.everywhere(api.KindModel, "scorer", uint64(uint64(winner.Version)), d.vms...)
 	d.neverBack()
 }
 
--- a/internal/configuration/publish.go
+++ b/internal/configuration/publish.go
@@ -10,6 +10,7 @@
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/config"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
@@ -25,7 +26,7 @@
 
 // newestRelease reads the platform's newest release, brings it in force here if
 // it is newer, and gives its object's version; 0 when there is none yet.
-func (a *acceptor) newestRelease(ctx context.Context) (api.Release, uint64, error) {
+func (a *acceptor) newestRelease(ctx context.Context) (api.Release, history.Version, error) {
 	object, err := a.platform.Get(ctx, string(api.KindRelease), api.ReleaseName)
 	if errors.Is(err, platform.ErrNotFound) {
 		return api.Release{}, 0, nil
@@ -46,7 +47,7 @@
 // publish writes the new pages, keeps the release that is replaced, and writes
 // the next one on condition that the platform still has the one it was made
 // from. Nothing is in force until that last write.
-func (a *acceptor) publish(ctx context.Context, former api.Release, objectVersion uint64, outcome config.Outcome) error {
+func (a *acceptor) publish(ctx context.Context, former api.Release, objectVersion history.Version, outcome config.Outcome) error {
 	for _, ref := range outcome.NewPages {
 		value, _ := outcome.Set.PageValue(ref)
 		if err := a.writePage(ctx, ref.Hash, value); err != nil {
@@ -97,7 +98,7 @@
 	return eris.Wrap(errPageContended, hash)
 }
 
-func (a *acceptor) writeRelease(ctx context.Context, objectVersion uint64, release api.Release) error {
+func (a *acceptor) writeRelease(ctx context.Context, objectVersion history.Version, release api.Release) error {
 	var err error
 	if objectVersion == 0 {
 		_, err = a.platform.Create(ctx, string(api.KindRelease), api.ReleaseName, release)
--- a/internal/configuration/status.go
+++ b/internal/configuration/status.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
@@ -58,7 +59,7 @@
 
 // writtenStatus is a Status record as this VM last read or wrote it.
 type writtenStatus struct {
-	version uint64
+	version history.Version
 	value   []byte
 	at      time.Time
 }
@@ -262,7 +263,7 @@
 	return status, known
 }
 
-func (w *statusWriter) read(ctx context.Context) (api.ConfigurationStatus, uint64, error) {
+func (w *statusWriter) read(ctx context.Context) (api.ConfigurationStatus, history.Version, error) {
 	var standing api.ConfigurationStatus
 	object, err := w.platform.Get(ctx, string(api.KindStatus), api.StatusConfiguration)
 	if errors.Is(err, platform.ErrNotFound) {
@@ -324,7 +325,7 @@
 	return errA == nil && errB == nil && string(a) == string(b)
 }
 
-func (w *statusWriter) put(ctx context.Context, name string, version uint64, status any, wanted []byte) error {
+func (w *statusWriter) put(ctx context.Context, name string, version history.Version, status any, wanted []byte) error {
 	var object platform.Object
 	var err error
 	if version == 0 {
--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 )
@@ -35,7 +36,7 @@
 	// Holds are the ranges of layers held.
 	Holds []Held
 	// Revision is the version of the entry in the platform; it grows with each write.
-	Revision uint64
+	Revision history.Version
 }
 
 // Held is a range of layers of one version of the weights.
@@ -54,7 +55,7 @@
 	Server
 	// missing is the revision by which the entry was not there any more, while that
 	// may be the platform's fault. 0 when it is there.
-	missing uint64
+	missing history.Version
 	// suspectUntil is when the server is tried again after it failed.
 	suspectUntil time.Duration
 	// fullUntil is until when the server counts as full, by its own word.
@@ -106,6 +107,11 @@
 	// restored is when the platform answered again after an outage.
 	restored time.Duration
 	outage   bool
+	// copied is the version of the first list of the platform's present history: entries up to
+	// it may be of the copy from which that began.
+	copied history.Version
+	// signs is the time between two signs of life of a server.
+	signs time.Duration
 	// sums is what the requests of all other VMs take on servers.
 	sums map[string]Usage
 	// limits are the request rates that servers set.
@@ -121,7 +127,7 @@
 
 // New makes an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), limits: ratelimit.New(), unreached: make(map[string]time.Duration)}
+	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), limits: ratelimit.New(), unreached: make(map[string]time.Duration), signs: usualSigns}
 }
 
 // Serve takes the services of the configuration in force.
@@ -234,6 +240,11 @@
 		if k.Service != server.Service && !f.services[server.Service] {
 			continue
 		}
+		if f.mayBeCopied(server.Revision, k.Revision) {
+			f.left[server.ID] = departure{at: now, revision: f.copied, copied: true}
+			f.servers[server.ID].Draining = true
+			return
+		}
 		if k.missing == 0 && k.Revision > server.Revision {
 			id = server.ID
 		}
@@ -256,7 +267,8 @@
 }
 
 // Replace takes a whole list, as it was at a revision.
-func (f *Fleet) Replace(now time.Duration, list []Server, revision uint64) {
+func (f *Fleet) Replace(now time.Duration, list []Server, revision history.Version) {
+	f.enter(now, revision)
 	present := make(map[string]bool, len(list))
 	for _, server := range list {
 		present[server.ID] = true
@@ -277,6 +289,7 @@
 			f.drop(now, Departure{ID: id, Revision: k.missing})
 		}
 	}
+	f.returnCopied(now)
 	for id, left := range f.left {
 		if _, present := f.servers[id]; !present && now > left.at+leftKept {
 			delete(f.left, id)
--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // Departure is the word that a server leaves.
@@ -11,13 +13,16 @@
 	// Revision is the platform's revision by which its entry was gone. An entry
 	// written later shows that the server lives: it was only cut off. 0 says that it
 	// drains or was followed by another process, from which none comes back.
-	Revision uint64 `json:"revision,omitempty"`
+	Revision history.Version `json:"revision,omitempty"`
 }
 
 // departure is what is remembered of a server that left.
 type departure struct {
 	at       time.Duration
-	revision uint64
+	revision history.Version
+	// copied says that its entry went in a former history of the platform, and came again, if
+	// at all, with the copy from which the present one began.
+	copied bool
 }
 
 // leftKept is how long a server that left is remembered: longer than any answer
@@ -47,7 +52,7 @@
 
 // Remove takes the word that the entry of a name isn't there any more, or names no
 // server, by a revision. Whatever life of the server it stood for is gone.
-func (f *Fleet) Remove(now time.Duration, name string, revision uint64) {
+func (f *Fleet) Remove(now time.Duration, name string, revision history.Version) {
 	for _, k := range slices.Clone(f.index.names[name]) {
 		if k.Revision <= revision {
 			f.remove(now, k.ID, revision)
@@ -55,7 +60,7 @@
 	}
 }
 
-func (f *Fleet) remove(now time.Duration, id string, revision uint64) {
+func (f *Fleet) remove(now time.Duration, id string, revision history.Version) {
 	k := f.servers[id]
 	if f.outage || (f.restored > 0 && now < f.restored+LapseGrace) {
 		k.missing = revision
@@ -92,12 +97,16 @@
 // Leave takes another VM's word that a server leaves or has left. What this VM read
 // later goes before it.
 func (f *Fleet) Leave(now time.Duration, gone Departure) {
+	copied := gone.Revision > 0 && gone.Revision.Era() < f.copied.Era()
+	if copied {
+		gone.Revision = f.copied
+	}
 	k, ok := f.servers[gone.ID]
 	if ok && gone.Revision > 0 && k.Revision > gone.Revision {
 		return
 	}
 	if left, known := f.left[gone.ID]; !known || gone.Revision == 0 || gone.Revision > left.revision && left.revision > 0 {
-		f.left[gone.ID] = departure{at: now, revision: gone.Revision}
+		f.left[gone.ID] = departure{at: now, revision: gone.Revision, copied: copied}
 	}
 	if ok {
 		k.Draining = true
--- a/internal/core/backends/index_test.go
+++ b/internal/core/backends/index_test.go
@@ -8,6 +8,8 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // Symptom: a server that is gone gets requests, or a new process's predecessor is not ended.
@@ -26,11 +28,11 @@
 			case 0, 1, 2:
 				life := fmt.Sprint(name, "-", some.Draw(t, "life"))
 				address := fmt.Sprint("10.0.0.", some.Draw(t, "address"))
-				f.Put(now, Server{ID: life, Name: name, Service: "app", Address: address, Revision: uint64(step), Draining: some.Draw(t, "draining") == 0})
+				f.Put(now, Server{ID: life, Name: name, Service: "app", Address: address, Revision: history.Version(step), Draining: some.Draw(t, "draining") == 0})
 			case 3:
-				f.Remove(now, name, uint64(step))
+				f.Remove(now, name, history.Version(step))
 			case 4:
-				f.Replace(now, nil, uint64(step))
+				f.Replace(now, nil, history.Version(step))
 			}
 			f.hasIndexOf(g)
 		}
--- a/internal/core/backends/lives_test.go
+++ b/internal/core/backends/lives_test.go
@@ -7,10 +7,11 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // life is a life of the server s1, started at a moment, that holds the first layers.
-func life(started string, revision uint64) backends.Server {
+func life(started string, revision history.Version) backends.Server {
 	s := server("s1@"+started, "a", "fast", 0, 40)
 	s.Name, s.Address, s.Revision = "s1", "s1:1", revision
 	return s
--- a/internal/edge/config.go
+++ b/internal/edge/config.go
@@ -69,7 +69,7 @@
 		if c.parts.Settings.FirstStart {
 			wait = c.part(followPart)
 		}
-		c.peers.begin(ctx, wait, c.take)
+		c.peers.begin(ctx, wait, c.heard)
 		c.tell(nil)
 	}
 	for ctx.Err() == nil {
@@ -116,10 +116,10 @@
 	if c.peers == nil {
 		return false
 	}
-	known := c.keeper.get().object.Version
-	said, hops := c.peers.follow(ctx, known, c.part(followPart), c.take)
+	known := c.keeper.get().config
+	said, hops := c.peers.follow(ctx, known, c.part(followPart), c.heard)
 	now := c.keeper.get()
-	if hops == 0 || now.object.Version < said {
+	if hops == 0 || now.config < said {
 		return false
 	}
 	return bootclock.Now()-now.provenAt < c.part(readPart+float64(hops)*followPart+latePart)
@@ -130,38 +130,50 @@
 	sent := bootclock.Now()
 	object, err := c.parts.Store.Get(ctx, c.parts.Config.Kind, c.parts.Config.Name)
 	if err == nil {
-		c.tellOlder(object)
-		c.take(object, sent)
+		c.tellOlder(c.take(object, sent), object)
 	} else if c.peers != nil {
-		c.peers.ask(ctx, c.keeper.get().object.Version, c.take)
+		c.peers.ask(ctx, c.keeper.get().config, c.heard)
 	}
 	return err
 }
 
 // tellOlder logs that the platform's configuration is older than the one in force.
-func (c *configReader) tellOlder(object objects.Object) {
-	seen := c.keeper.get().object.Version
-	older := object.Version < seen
+func (c *configReader) tellOlder(config uint64, object objects.Object) {
+	now := c.keeper.get()
+	older := config > 0 && config < now.config
 	if older && !c.older {
-		telemetry.PlatformOlder.Log(c.log, "kind", c.parts.Config.Kind, "revision", object.Version, "seen", seen)
+		telemetry.PlatformOlder.Log(c.log, "kind", c.parts.Config.Kind, "revision", object.Version.String(), "version", config, "inForce", now.config)
 	}
 	c.older = older
 }
 
-// take brings an object in force that was the newest at a moment. One that can't
-// be read proves nothing.
-func (c *configReader) take(object objects.Object, at time.Duration) {
-	if object.Version > c.keeper.get().object.Version {
-		table, err := c.parts.Decode.Routes(object.Value)
-		if err != nil {
-			telemetry.RelayConfigBad.Fail(c.log, err, "revision", object.Version)
-			return
-		}
-		if c.dispatcher.SetTable(table) {
-			telemetry.RelayConfigInForce.Log(c.log, "version", table.Version, "revision", object.Version)
-		}
+// heard takes another VM's word. One without a value tells of what is known already.
+func (c *configReader) heard(word inForce) {
+	if len(word.object.Value) == 0 {
+		c.keeper.renew(word.config, word.provenAt)
+		return
+	}
+	c.take(word.object, word.provenAt)
+}
+
+// take brings a configuration in force that was the newest at a moment, and returns its own
+// version. One that can't be read proves nothing; its version is 0.
+func (c *configReader) take(object objects.Object, at time.Duration) uint64 {
+	held := c.keeper.get()
+	if held.config > 0 && object.Version > 0 && object.Version == held.object.Version {
+		c.keeper.prove(held.config, held.object, at)
+		return held.config
+	}
+	table, err := c.parts.Decode.Routes(object.Value)
+	if err != nil {
+		telemetry.RelayConfigBad.Fail(c.log, err, "revision", object.Version.String())
+		return 0
+	}
+	if c.dispatcher.SetTable(table) {
+		telemetry.RelayConfigInForce.Log(c.log, "version", table.Version, "revision", object.Version.String())
 	}
-	c.keeper.prove(object, at)
+	c.keeper.prove(table.Version, object, at)
+	return table.Version
 }
 
 // tell logs when the proof is lost and when it is back.
--- a/internal/edge/configpeers.go
+++ b/internal/edge/configpeers.go
@@ -44,7 +44,7 @@
 // learns nothing reads the platform.
 //
 // What it gains: when all VMs start at once, few of them read the platform.
-func (p *configPeers) begin(ctx context.Context, wait time.Duration, take func(object objects.Object, at time.Duration)) {
+func (p *configPeers) begin(ctx context.Context, wait time.Duration, take func(word inForce)) {
 	if len(p.contacts) == 0 {
 		return
 	}
@@ -52,7 +52,7 @@
 	client, url := p.dialer.Seed(p.contacts[rand.IntN(len(p.contacts))])
 	answer, err := inForceAt(ctx, client, url, wait+beginTimeout, &configv1.InForceRequest{WaitMillis: uint32(wait.Milliseconds())})
 	if word, ok := said(answer, err, sent); ok {
-		take(word.object, word.provenAt)
+		take(word)
 	}
 }
 
@@ -83,9 +83,9 @@
 }
 
 // follow waits at the upstream VM for something newer than what is known, as long as
-// that is given, and hands over what it says. It returns the version in force there and
-// how many hops it took; 0 hops when nothing was said.
-func (p *configPeers) follow(ctx context.Context, known uint64, wait time.Duration, take func(object objects.Object, at time.Duration)) (version uint64, hops int) {
+// that is given, and hands over what it says. It returns the configuration in force there
+// and how many hops it took; 0 hops when nothing was said.
+func (p *configPeers) follow(ctx context.Context, known uint64, wait time.Duration, take func(word inForce)) (config uint64, hops int) {
 	vm, hops := p.upstream()
 	if hops == 0 {
 		return 0, 0
@@ -97,8 +97,8 @@
 		// The platform is read instead.
 		return 0, 0
 	}
-	take(word.object, word.provenAt)
-	return word.object.Version, hops
+	take(word)
+	return word.config, hops
 }
 
 // said is what a VM says to be in force, and since when it is proven. False when it doesn't
@@ -107,16 +107,16 @@
 	if err != nil || answer.ProofAgeMicros == nil {
 		return inForce{}, false
 	}
-	return inForce{object: objects.Object{Version: answer.Release, Value: answer.Value}, provenAt: sent - peer.Age(*answer.ProofAgeMicros)}, true
+	return inForce{config: answer.Release, object: objects.Object{Value: answer.Value}, provenAt: sent - peer.Age(*answer.ProofAgeMicros)}, true
 }
 
-// ask asks some VMs and hands over what they say: objects and when each of them
-// was the newest. An object without a value is the one that is known already.
+// ask asks some VMs and hands over what they say: configurations and when each of them
+// was the newest. One without a value is known already.
 //
 // The age counts from the moment at which the question was sent, which is before
 // the one at which the other VM worked it out. So neither the way nor a pause of
 // either VM makes a proof look newer than it is.
-func (p *configPeers) ask(ctx context.Context, known uint64, take func(object objects.Object, at time.Duration)) {
+func (p *configPeers) ask(ctx context.Context, known uint64, take func(word inForce)) {
 	others := p.others()
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	others = others[:min(len(others), peersAsked)]
@@ -137,7 +137,7 @@
 	}
 	for range others {
 		if word := <-words; word != nil {
-			take(word.object, word.provenAt)
+			take(*word)
 		}
 	}
 }
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -79,6 +79,7 @@
 	debug.SetGCPercent(collectAt)
 	retries := budget.New(budget.Options{Ratio: s.RepeatRatio, Slack: s.RepeatSlack, Window: s.RepeatWindow, VMs: fewestVMs, UnknownVMs: unknownVMs, UnknownFor: unknownFor, Random: rand.Float64})
 	dispatcher := relay.NewDispatcher(bootclock.Now, retries)
+	dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { fleet.Signs(s.Signs) })
 	if len(s.Seeds) == 0 {
 		dispatcher.Live(1)
 	}
--- a/internal/edge/proof.go
+++ b/internal/edge/proof.go
@@ -15,6 +15,10 @@
 
 // inForce is the configuration in force and the proof that it is the newest.
 type inForce struct {
+	// config is the configuration's own version, which the operator raises: it holds in each
+	// history of the platform, as the version of the object doesn't. 0 before the first.
+	config uint64
+	// object is what the platform has of it. Its version is 0 where another VM told it.
 	object objects.Object
 	// provenAt is when the platform was asked that last said so, by bootclock. 0
 	// before the first time.
@@ -41,12 +45,12 @@
 
 func newProofKeeper() *proofKeeper { return &proofKeeper{newer: make(chan struct{})} }
 
-// wait returns when an object newer than a version is in force, or ctx ends.
+// wait returns when a configuration newer than one is in force, or ctx ends.
 func (k *proofKeeper) wait(ctx context.Context, known uint64) {
 	k.mu.Lock()
-	version, newer := k.now.object.Version, k.newer
+	config, newer := k.now.config, k.newer
 	k.mu.Unlock()
-	if version > known {
+	if config > known {
 		return
 	}
 	select {
@@ -61,28 +65,33 @@
 	return k.now
 }
 
-// prove notes an object that was the newest at a moment. An older proof, and one of
-// an older object, changes nothing.
-func (k *proofKeeper) prove(object objects.Object, at time.Duration) {
+// prove notes a configuration that was the newest at a moment. An older proof changes
+// nothing, and so does one of an older configuration: a platform that came back from a copy
+// shows one until the operator has written the newer one again, and what was taken away by
+// that stays taken away.
+func (k *proofKeeper) prove(config uint64, object objects.Object, at time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if object.Version < k.now.object.Version {
+	if config < k.now.config {
 		return
 	}
-	if object.Version > k.now.object.Version {
+	if config > k.now.config || object.Version > 0 {
 		k.now.object = object
+	}
+	if config > k.now.config {
+		k.now.config = config
 		close(k.newer)
 		k.newer = make(chan struct{})
 	}
 	k.now.provenAt = max(k.now.provenAt, at)
 }
 
-// renew notes that a version was the newest at a moment. It says nothing of another
-// version than the one in force here: a newer one has to be learnt first.
-func (k *proofKeeper) renew(version uint64, at time.Duration) {
+// renew notes that a configuration was the newest at a moment. It says nothing of another
+// one than that in force here: a newer one has to be learnt first.
+func (k *proofKeeper) renew(config uint64, at time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version == k.now.object.Version {
+	if config == k.now.config {
 		k.now.provenAt = max(k.now.provenAt, at)
 	}
 }
@@ -111,8 +120,8 @@
 		cancel()
 	}
 	now := s.keeper.get()
-	answer := &configv1.InForceResponse{Release: now.object.Version, ProofAgeMicros: now.proofAge()}
-	if request.Msg.Known < now.object.Version {
+	answer := &configv1.InForceResponse{Release: now.config, ProofAgeMicros: now.proofAge()}
+	if request.Msg.Known < now.config {
 		answer.Value = now.object.Value
 	}
 	return connect.NewResponse(answer), nil
--- a/internal/edge/questions.go
+++ b/internal/edge/questions.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
@@ -36,7 +37,7 @@
 
 // holding asks a VM for the version of the lease of a role that it holds. It returns
 // false when the VM doesn't say that it holds it; the platform is asked then.
-func (q questions) holding(ctx context.Context, name string, holder lease.VM) (uint64, bool) {
+func (q questions) holding(ctx context.Context, name string, holder lease.VM) (history.Version, bool) {
 	client, url, err := q.dialer.Endpoint(holder.Name)
 	if err != nil {
 		return 0, false
@@ -47,7 +48,7 @@
 	if err != nil {
 		return 0, false
 	}
-	return answer.Msg.Version, answer.Msg.Held
+	return history.Version(answer.Msg.Version), answer.Msg.Held
 }
 
 // rolesService tells other VMs of the role that this one may hold.
@@ -62,5 +63,5 @@
 	if request.Msg.Role != s.role.Name || !tenure.Held {
 		return connect.NewResponse(&rolesv1.HoldingResponse{}), nil
 	}
-	return connect.NewResponse(&rolesv1.HoldingResponse{Held: true, Version: tenure.Version}), nil
+	return connect.NewResponse(&rolesv1.HoldingResponse{Held: true, Version: uint64(tenure.Version)}), nil
 }
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -22,6 +22,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/edge"
 	objects "oleandershunt.example/oleandershunt/internal/platform"
@@ -32,7 +33,7 @@
 // memory is an object store in memory whose troubles a test sets.
 type memory struct {
 	mu      sync.Mutex
-	version uint64
+	version history.Version
 	objects map[string]objects.Object
 	changes []objects.WatchEvent
 	news    chan struct{}
@@ -81,7 +82,7 @@
 
 // saved is a copy of a memory.
 type saved struct {
-	version uint64
+	version history.Version
 	objects map[string]objects.Object
 	changes []objects.WatchEvent
 }
@@ -98,7 +99,11 @@
 func (m *memory) comeBack(from saved) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.version, m.objects, m.changes = from.version, maps.Clone(from.objects), slices.Clone(from.changes)
+	version, err := history.At(m.version.Era()+1, from.version.Revision())
+	if err != nil {
+		panic(err)
+	}
+	m.version, m.objects, m.changes = version, maps.Clone(from.objects), slices.Clone(from.changes)
 	close(m.news)
 	m.news = make(chan struct{})
 }
@@ -162,14 +167,14 @@
 
 // since returns the changes of a kind after a version, and what is closed at the
 // next change.
-func (m *memory) since(kind string, version uint64) ([]objects.WatchEvent, uint64, <-chan struct{}, error) {
+func (m *memory) since(kind string, version history.Version) ([]objects.WatchEvent, history.Version, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.down {
 		m.failed++
 		return nil, 0, nil, objects.ErrUnavailable
 	}
-	if version > m.version {
+	if version > m.version || version.Era() != m.version.Era() {
 		return nil, 0, nil, objects.ErrCompacted
 	}
 	var fresh []objects.WatchEvent
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -11,6 +11,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/mirror"
 	objects "oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/relay"
@@ -31,8 +32,10 @@
 	lost atomic.Bool
 	// older says that the platform's last answer was older than what was seen before.
 	older atomic.Bool
+	// listed is the version of the last list. Only Listed uses it.
+	listed history.Version
 	// unread are the versions of the entries that name no server to use, by name.
-	unread map[string]uint64
+	unread map[string]history.Version
 	// told keeps the entries for other VMs, and learns them from those; learns is nil
 	// without other VMs.
 	told   *mirror.Log
@@ -42,7 +45,7 @@
 var _ objects.Sink = (*serverList)(nil)
 
 func newServerList(p Parts, d *relay.Dispatcher, registered func(backends.Server)) *serverList {
-	l := &serverList{parts: p, log: p.Log, dispatcher: d, registered: registered, unread: make(map[string]uint64)}
+	l := &serverList{parts: p, log: p.Log, dispatcher: d, registered: registered, unread: make(map[string]history.Version)}
 	l.told = mirror.NewLog(l, bootclock.Now)
 	return l
 }
@@ -77,8 +80,12 @@
 		}
 	}
 	l.back()
+	if l.listed > 0 && l.listed.Era() < list.Version.Era() {
+		telemetry.PlatformCopied.Log(l.log, "kind", l.parts.Servers.Kind, "revision", list.Version.String(), "before", l.listed.String())
+	}
+	l.listed = list.Version
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, servers, list.Version) })
-	telemetry.RelayServers.Log(l.log, "listed", len(servers), "revision", list.Version)
+	telemetry.RelayServers.Log(l.log, "listed", len(servers), "revision", list.Version.String())
 	return nil
 }
 
@@ -90,7 +97,7 @@
 	}
 	if event.Deleted {
 		l.remove(event.Object)
-		telemetry.RelayServers.Log(l.log, "server", event.Object.Name, "state", "gone", "revision", event.Object.Version)
+		telemetry.RelayServers.Log(l.log, "server", event.Object.Name, "state", "gone", "revision", event.Object.Version.String())
 		return nil
 	}
 	server, ok := l.decode(event.Object)
@@ -100,7 +107,7 @@
 	}
 	l.dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, server) })
 	telemetry.RelayServers.Log(l.log, "server", server.ID, "dataCentre", server.DataCentre, "draining", server.Draining,
-		"holds", server.Holds, "revision", event.Object.Version)
+		"holds", server.Holds, "revision", event.Object.Version.String())
 	return nil
 }
 
@@ -157,5 +164,5 @@
 	}
 	l.unread[object.Name] = object.Version
 	metrics.GetOrCreateCounter("oleandershunt_relay_entries_left_out_total").Inc()
-	telemetry.RelayServers.Fail(l.log, err, "server", object.Name, "revision", object.Version)
+	telemetry.RelayServers.Fail(l.log, err, "server", object.Name, "revision", object.Version.String())
 }
--- a/internal/edge/settings.go
+++ b/internal/edge/settings.go
@@ -40,6 +40,8 @@
 	// Contact is how long after a disturbance a VM must be up to date again. 3 s when it
 	// is 0.
 	Contact time.Duration
+	// Signs is the time between two signs of life of a backend server. 0 is the usual one.
+	Signs time.Duration
 	// Grace is the time from a planned stop to the kill.
 	Grace time.Duration
 	// RepeatRatio, RepeatSlack and RepeatWindow bound the repeats of all VMs.
--- a/internal/edge/stop_test.go
+++ b/internal/edge/stop_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // Symptom: callers' streams break off at each planned stop. Sequence: a VM is
@@ -50,7 +52,7 @@
 // others to wait for its end. Cause: the role doesn't know of the stop.
 func TestAStoppingVMGivesTheRoleUpAndTakesNone(t *testing.T) {
 	r := newRig(t, table(1))
-	role := func() (version uint64, released bool) {
+	role := func() (version history.Version, released bool) {
 		object, err := r.store.Get(context.Background(), "oleandershunt-roles", "layers-a")
 		if err != nil {
 			return 0, false
@@ -66,7 +68,7 @@
 		return released
 	}, "2s").Should(BeTrue())
 	held, _ := role()
-	r.Consistently(func() uint64 {
+	r.Consistently(func() history.Version {
 		version, _ := role()
 		return version
 	}, "2s", "100ms").Should(Equal(held))
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -209,7 +209,7 @@
 	}
 	proof := t.proof.get()
 	return connect.NewResponse(&tallyv1.TellResponse{
-		Tally: wireTally(answer, now), ConfigVersion: proof.object.Version, ProofAgeMicros: proof.proofAge(), Unreached: t.reaches.lost(),
+		Tally: wireTally(answer, now), ConfigVersion: proof.config, ProofAgeMicros: proof.proofAge(), Unreached: t.reaches.lost(),
 	}), nil
 }
 
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/cespare/xxhash/v2"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
 	"oleandershunt.example/oleandershunt/internal/platform"
@@ -173,7 +174,7 @@
 }
 
 // Next implements platform.Mirror.
-func (f *Follower) Next(ctx context.Context, version uint64) (platform.Page, bool) {
+func (f *Follower) Next(ctx context.Context, version history.Version) (platform.Page, bool) {
 	for ctx.Err() == nil {
 		now := f.part()
 		if now.reads {
@@ -205,21 +206,21 @@
 }
 
 // learn asks a VM. It returns false when that has nothing to be believed.
-func (f *Follower) learn(ctx context.Context, vm string, version uint64) (platform.Page, bool) {
+func (f *Follower) learn(ctx context.Context, vm string, version history.Version) (platform.Page, bool) {
 	sent, wait, limit := f.Now(), Wait, Wait+callTimeout
 	if version == 0 && !f.FirstStart {
 		wait, limit = startWait, startTimeout
 	}
 	asked, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	response, err := f.Ask(asked, vm, &entriesv1.ChangesRequest{Known: version, WaitMillis: uint32(wait.Milliseconds())})
+	response, err := f.Ask(asked, vm, &entriesv1.ChangesRequest{Known: uint64(version), WaitMillis: uint32(wait.Milliseconds())})
 	var page platform.Page
 	var proof Proof
 	ok := false
 	if err == nil {
 		page, proof, ok = decode(f.Kind, response, sent)
 	}
-	if !ok || f.Now()-proof.At > believed {
+	if !ok || page.Version.Era() < version.Era() || f.Now()-proof.At > believed {
 		metrics.GetOrCreateCounter(`oleandershunt_mirror_answers_total{result="nothing"}`).Inc()
 		f.mu.Lock()
 		f.doubts[vm] = f.Now() + doubted
--- a/internal/mirror/log.go
+++ b/internal/mirror/log.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -30,9 +31,9 @@
 	objects map[string]platform.Object
 	// changes are the newest ones, in order of version; all after floor.
 	changes []platform.WatchEvent
-	floor   uint64
+	floor   history.Version
 	// version is up to which everything is known; 0 before the first list.
-	version uint64
+	version history.Version
 	proof   Proof
 	// own is when the platform itself last answered this VM.
 	own time.Duration
@@ -161,7 +162,7 @@
 
 // since tells what has changed after a version, or all objects where the changes aren't
 // known any more.
-func (l *Log) since(known uint64) answer {
+func (l *Log) since(known history.Version) answer {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	told := answer{page: platform.Page{Version: l.version}, proof: l.proof, lost: l.lost, news: l.news}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -8,6 +8,7 @@
 	"connectrpc.com/connect"
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/mirror"
 	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
 	"oleandershunt.example/oleandershunt/internal/platform"
@@ -154,6 +155,26 @@
 	g.Expect(ok).To(BeFalse())
 }
 
+// Guards against: a VM that still has a former history of the store keeps others there.
+func TestAVMInAFormerHistoryIsNotBelieved(t *testing.T) {
+	g := NewWithT(t)
+	log, _ := heard(t)
+	former, err := history.At(1, 900)
+	g.Expect(err).NotTo(HaveOccurred())
+	present, err := history.At(2, 5)
+	g.Expect(err).NotTo(HaveOccurred())
+	age := uint64(0)
+	follower := mirror.NewFollower(log, mirror.Options{
+		Kind: kind, Self: "vm-1", Settled: func() bool { return false }, Contacts: []string{"vm-2"},
+		Ask: func(context.Context, string, *entriesv1.ChangesRequest) (*entriesv1.ChangesResponse, error) {
+			return &entriesv1.ChangesResponse{Version: uint64(former), ProofAgeMicros: &age}, nil
+		},
+		Now: func() time.Duration { return time.Minute },
+	})
+	_, ok := follower.Next(t.Context(), present)
+	g.Expect(ok).To(BeFalse())
+}
+
 func TestChangesThatAreForgottenBringEverything(t *testing.T) {
 	g := NewWithT(t)
 	log, _ := heard(t)
@@ -169,7 +190,7 @@
 	g.Expect(ask(4).Whole).To(BeTrue(), "changes before the list aren't known")
 	g.Expect(ask(5).Entries).To(BeEmpty())
 	const many = 600
-	for i := range uint64(many) {
+	for i := range history.Version(many) {
 		g.Expect(log.Watched(platform.WatchEvent{Object: platform.Object{Name: "s2", Version: 6 + i}})).To(Succeed())
 	}
 	g.Expect(ask(5).Whole).To(BeTrue())
--- a/internal/mirror/rig_test.go
+++ b/internal/mirror/rig_test.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/mirror"
 	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
@@ -23,15 +24,15 @@
 // store is the platform's objects of one kind, in memory.
 type store struct {
 	mu      sync.Mutex
-	version uint64
-	names   map[string]uint64
+	version history.Version
+	names   map[string]history.Version
 	changes []platform.WatchEvent
 	news    chan struct{}
 	down    bool
 }
 
 func newStore(names ...string) *store {
-	s := &store{names: make(map[string]uint64), news: make(chan struct{})}
+	s := &store{names: make(map[string]history.Version), news: make(chan struct{})}
 	for _, name := range names {
 		s.set(name, false)
 	}
--- a/internal/mirror/service.go
+++ b/internal/mirror/service.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
 	"oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1/entriesv1connect"
@@ -26,7 +27,7 @@
 	wait := min(time.Duration(request.Msg.WaitMillis)*time.Millisecond, longestWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	told := s.Log.since(request.Msg.Known)
+	told := s.Log.since(history.Version(request.Msg.Known))
 	for waiting := wait > 0; waiting && !told.settled(); {
 		select {
 		case <-told.news:
@@ -35,7 +36,7 @@
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
-		told = s.Log.since(request.Msg.Known)
+		told = s.Log.since(history.Version(request.Msg.Known))
 	}
 	return connect.NewResponse(encode(told, s.Log.now())), nil
 }
@@ -44,13 +45,13 @@
 	if told.lost || told.proof.At == 0 || told.page.Version == 0 {
 		return &entriesv1.ChangesResponse{}
 	}
-	response := &entriesv1.ChangesResponse{Version: told.page.Version, Whole: told.page.Whole, ProofAgeMicros: age(now, told.proof.At)}
+	response := &entriesv1.ChangesResponse{Version: uint64(told.page.Version), Whole: told.page.Whole, ProofAgeMicros: age(now, told.proof.At)}
 	if told.proof.Back > 0 {
 		response.BackAgeMicros = age(now, told.proof.Back)
 	}
 	for _, event := range told.page.Events {
 		response.Entries = append(response.Entries, &entriesv1.Entry{
-			Name: event.Object.Name, Version: event.Object.Version, Value: event.Object.Value, Gone: event.Deleted,
+			Name: event.Object.Name, Version: uint64(event.Object.Version), Value: event.Object.Value, Gone: event.Deleted,
 		})
 	}
 	return response
@@ -68,9 +69,9 @@
 	if response.ProofAgeMicros == nil {
 		return platform.Page{}, Proof{}, false
 	}
-	page := platform.Page{Version: response.Version, Whole: response.Whole}
+	page := platform.Page{Version: history.Version(response.Version), Whole: response.Whole}
 	for _, entry := range response.Entries {
-		object := platform.Object{Kind: kind, Name: entry.Name, Version: entry.Version, Value: entry.Value}
+		object := platform.Object{Kind: kind, Name: entry.Name, Version: history.Version(entry.Version), Value: entry.Value}
 		page.Events = append(page.Events, platform.WatchEvent{Object: object, Deleted: entry.Gone})
 	}
 	proof := Proof{At: sent - peer.Age(*response.ProofAgeMicros)}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -15,6 +15,7 @@
 	"oleandershunt.example/oleandershunt/internal/actors"
 	"oleandershunt.example/oleandershunt/internal/core"
 	"oleandershunt.example/oleandershunt/internal/core/fleet"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/loop"
 	"oleandershunt.example/oleandershunt/internal/peer"
 	"oleandershunt.example/oleandershunt/internal/peer/gossip"
@@ -72,7 +73,7 @@
 	// publishing guards the version of this VM's object, 0 when it isn't
 	// published, and withdrawn, after which it must not be published again.
 	publishing sync.Mutex
-	version    uint64
+	version    history.Version
 	withdrawn  bool
 	// missing is since when a VM with an object has been missing in the directory.
 	missing map[string]time.Time
--- a/internal/operator/apply.go
+++ b/internal/operator/apply.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -23,7 +24,7 @@
 type Applied struct {
 	Change
 	// Written is the version of the write.
-	Written uint64 `json:"written"`
+	Written history.Version `json:"written"`
 }
 
 // Apply writes changes, each on condition that its record is as it was read.
@@ -47,7 +48,7 @@
 	return applied, nil
 }
 
-func (c *Client) write(ctx context.Context, change Change) (uint64, error) {
+func (c *Client) write(ctx context.Context, change Change) (history.Version, error) {
 	kind := string(change.kind)
 	var object platform.Object
 	var err error
@@ -66,10 +67,10 @@
 
 // deletionVersion finds the version of a deletion, which the platform tells to
 // watches only.
-func (c *Client) deletionVersion(ctx context.Context, change Change) (uint64, error) {
+func (c *Client) deletionVersion(ctx context.Context, change Change) (history.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, deletionTimeout)
 	defer cancel()
-	var version uint64
+	var version history.Version
 	err := c.platform.Watch(ctx, string(change.kind), change.Version, func(event platform.WatchEvent) {
 		if event.Object.Name == change.name && event.Deleted {
 			version = event.Object.Version
@@ -157,9 +158,9 @@
 func judge(status api.ConfigurationStatus, applied []Applied) Verdicts {
 	verdicts := Verdicts{Release: status.Release}
 	for _, change := range applied {
-		record, decided := status.State(change.kind, change.name, change.Written)
+		record, decided := status.State(change.kind, change.name, uint64(change.Written))
 		if !decided {
-			record = api.RecordStatus{Record: change.Record, Version: change.Written}
+			record = api.RecordStatus{Record: change.Record, Version: uint64(change.Written)}
 		}
 		verdicts.Records = append(verdicts.Records, record)
 	}
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -27,7 +28,7 @@
 type Stored struct {
 	Document api.Document `json:"record"`
 	// Version is the platform's version of it.
-	Version uint64 `json:"version"`
+	Version history.Version `json:"version"`
 }
 
 // ParseKind finds a kind by name, in any case and also in the plural.
--- a/internal/operator/plan.go
+++ b/internal/operator/plan.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -31,8 +32,8 @@
 	Action Action `json:"action"`
 	// Version is the version that was read, on which the write depends; 0 when
 	// there was none.
-	Version     uint64       `json:"version,omitempty"`
-	Differences []Difference `json:"differences,omitempty"`
+	Version     history.Version `json:"version,omitempty"`
+	Differences []Difference    `json:"differences,omitempty"`
 
 	kind   api.Kind
 	name   string
--- a/internal/platform/follow.go
+++ b/internal/platform/follow.go
@@ -7,6 +7,8 @@
 	"fmt"
 
 	"github.com/rotisserie/eris"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // ErrStaleList marks a list that is older than what has been seen already.
@@ -30,7 +32,7 @@
 	Sink
 	// Held gives the value of an object's version, or nil. It takes the place of
 	// the value that was read. It must not be changed.
-	Held(name string, version uint64) json.RawMessage
+	Held(name string, version history.Version) json.RawMessage
 }
 
 // follower is where Follow stands.
@@ -42,7 +44,7 @@
 	mirror Mirror
 	// version is the newest seen. A list that is older is thrown away: a store
 	// that answers from an old replica would otherwise take the VM back.
-	version uint64
+	version history.Version
 	listed  bool
 }
 
@@ -118,7 +120,7 @@
 
 func (f *follower) takeList(list List) error {
 	if list.Version < f.version {
-		return fmt.Errorf("%w: at version %d, seen %d", ErrStaleList, list.Version, f.version)
+		return fmt.Errorf("%w: at version %v, seen %v", ErrStaleList, list.Version, f.version)
 	}
 	if err := f.sink.Listed(list); err != nil {
 		return err
--- a/internal/platform/mirror.go
+++ b/internal/platform/mirror.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/rotisserie/eris"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // errTurnOver ends a watch of a VM that need not read the platform any more.
@@ -16,7 +18,7 @@
 	// Next waits for changes after a version; 0 asks for everything. It returns false
 	// when this VM is to read the platform: it is one of those that do, or nobody else
 	// can tell.
-	Next(ctx context.Context, version uint64) (Page, bool)
+	Next(ctx context.Context, version history.Version) (Page, bool)
 	// Reads tells whether this VM is one of those that read the platform for others.
 	// Every other VM reads until the first answer of a watch, and then tries Next again.
 	Reads() bool
@@ -27,7 +29,7 @@
 // Page is what a Mirror brings.
 type Page struct {
 	// Version is up to which everything is known with this page.
-	Version uint64
+	Version history.Version
 	// Whole says that Events are all objects there are.
 	Whole  bool
 	Events []WatchEvent
--- a/internal/platform/object.go
+++ b/internal/platform/object.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 
 	"github.com/rotisserie/eris"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // The paths of the API.
@@ -25,7 +27,7 @@
 	Kind string `json:"kind"`
 	Name string `json:"name"`
 	// Version grows with every write to any object of the store.
-	Version uint64 `json:"version"`
+	Version history.Version `json:"version"`
 	// WriteID is the id given by the writer of this version.
 	WriteID string `json:"writeId,omitempty"`
 	// Value is the content, up to MaxValueBytes.
@@ -35,8 +37,8 @@
 // List is the answer to a list call.
 type List struct {
 	// Version is the store's version at the time of the list; a watch goes on from it.
-	Version uint64   `json:"version"`
-	Items   []Object `json:"items"`
+	Version history.Version `json:"version"`
+	Items   []Object        `json:"items"`
 }
 
 // WatchEvent is one line of a watch.
--- a/internal/platform/reflector_rig_test.go
+++ b/internal/platform/reflector_rig_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"sync"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -25,7 +26,7 @@
 
 	mu      sync.RWMutex
 	objects map[string]platform.Object
-	version uint64
+	version history.Version
 	synced  bool
 	err     error
 	stale   int
--- a/internal/platform/watch.go
+++ b/internal/platform/watch.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // errWatchOpen is the outcome under which a watch is counted while it waits.
@@ -12,7 +14,7 @@
 
 // Watch calls handle for each change of a kind after version, until ctx ends
 // or the watch breaks. It always returns an error that says why it ended.
-func (c *Client) Watch(ctx context.Context, kind string, version uint64, handle func(WatchEvent)) error {
+func (c *Client) Watch(ctx context.Context, kind string, version history.Version, handle func(WatchEvent)) error {
 	return c.watch(ctx, kind, "", version, func(event WatchEvent) error {
 		if !event.Bookmark {
 			handle(event)
@@ -25,7 +27,7 @@
 // after a lost route or a stuck server, would leave the VM on an old state for
 // good: so the platform is asked for a bookmark at intervals, and a watch that
 // misses three of them ends with ErrSilent. An error of handle ends the watch.
-func (c *Client) watch(ctx context.Context, kind, prefix string, version uint64, handle func(WatchEvent) error) error {
+func (c *Client) watch(ctx context.Context, kind, prefix string, version history.Version, handle func(WatchEvent) error) error {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	if err := c.spend(ctx, MethodWatch, kind); err != nil {
--- a/internal/platform/wire.go
+++ b/internal/platform/wire.go
@@ -10,6 +10,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // Wire encodes and sends single calls to an object API, and makes the typed
@@ -39,7 +41,7 @@
 type Write struct {
 	Kind, Name string
 	// Version is the version that the object must have; 0 for a create.
-	Version uint64
+	Version history.Version
 	// ID is the writer's own name of the write. The object shows it afterwards.
 	ID string
 	// deletes says that the object is removed.
@@ -50,7 +52,7 @@
 type Watch struct {
 	Kind, Prefix string
 	// Version is the last version that has been seen.
-	Version uint64
+	Version history.Version
 	// Bookmark is how often a bookmark is wanted though nothing changed.
 	Bookmark time.Duration
 	// Gather is how long a wire that asks anew for each batch of changes waits after one,
@@ -102,7 +104,7 @@
 // Watch implements Wire.
 func (w *ownWire) Watch(ctx context.Context, watch Watch, handle func(WatchEvent) error) error {
 	query := url.Values{
-		"from":     {strconv.FormatUint(watch.Version, 10)},
+		"from":     {strconv.FormatUint(uint64(watch.Version), 10)},
 		"prefix":   {watch.Prefix},
 		"bookmark": {watch.Bookmark.String()},
 	}
@@ -129,7 +131,7 @@
 		header.Set("If-None-Match", "*")
 		return header
 	}
-	header.Set("If-Match", strconv.FormatUint(w.Version, 10))
+	header.Set("If-Match", strconv.FormatUint(uint64(w.Version), 10))
 	return header
 }
 
--- a/internal/platform/write.go
+++ b/internal/platform/write.go
@@ -7,6 +7,8 @@
 	"fmt"
 
 	"github.com/google/uuid"
+
+	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
 // writeTries bounds how often one write is sent while its answers are lost.
@@ -18,11 +20,11 @@
 }
 
 // Update writes an object whose version must be the given one.
-func (c *Client) Update(ctx context.Context, kind, name string, version uint64, value any) (Object, error) {
+func (c *Client) Update(ctx context.Context, kind, name string, version history.Version, value any) (Object, error) {
 	return c.put(ctx, kind, name, version, value)
 }
 
-func (c *Client) put(ctx context.Context, kind, name string, version uint64, value any) (Object, error) {
+func (c *Client) put(ctx context.Context, kind, name string, version history.Version, value any) (Object, error) {
 	body, err := json.Marshal(value)
 	if err != nil {
 		return Object{}, fmt.Errorf("%w: %w", ErrRefused, err)
@@ -40,7 +42,7 @@
 
 // Delete removes an object whose version must be the given one. An object that
 // is gone when a lost answer is looked into counts as deleted.
-func (c *Client) Delete(ctx context.Context, kind, name string, version uint64) error {
+func (c *Client) Delete(ctx context.Context, kind, name string, version history.Version) error {
 	w := Write{Kind: kind, Name: name, Version: version, ID: uuid.NewString(), deletes: true}
 	_, err := c.untilKnown(ctx, w, func() (Object, error) {
 		return Object{}, c.call(ctx, MethodDelete, w.Kind, func(ctx context.Context) error { return c.wire.Delete(ctx, w) })
--- a/internal/role/role.go
+++ b/internal/role/role.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
@@ -19,7 +20,7 @@
 type Store interface {
 	Get(ctx context.Context, kind, name string) (platform.Object, error)
 	Create(ctx context.Context, kind, name string, value any) (platform.Object, error)
-	Update(ctx context.Context, kind, name string, version uint64, value any) (platform.Object, error)
+	Update(ctx context.Context, kind, name string, version history.Version, value any) (platform.Object, error)
 }
 
 // Times are the times of a role.
@@ -55,7 +56,7 @@
 	// Only when it doesn't say so is the platform read.
 	//
 	// What it gains: looks at a role that is held cost no calls of the platform.
-	Ask func(ctx context.Context, role string, holder lease.VM) (version uint64, held bool)
+	Ask func(ctx context.Context, role string, holder lease.VM) (version history.Version, held bool)
 }
 
 // record is the lease's object. Every renewal is a new version of it.
@@ -88,7 +89,7 @@
 	Epoch        uint64
 	Since, Until time.Duration
 	// Version is the platform's version of the lease's object.
-	Version uint64
+	Version history.Version
 }
 
 // New makes a role that this VM doesn't hold.
@@ -177,7 +178,7 @@
 		r.observer.Failed()
 		return err == nil
 	}
-	r.observer.Read(now, object.Version)
+	r.observer.Read(now, uint64(object.Version))
 	r.holder = seen.Holder
 	if r.free(now, seen, position) {
 		r.take(now, seen.Epoch+1, func(next record) (platform.Object, error) {
@@ -195,7 +196,7 @@
 	}
 	version, held := r.Ask(ctx, r.Name, r.holder)
 	if held {
-		r.observer.Read(now, version)
+		r.observer.Read(now, uint64(version))
 	}
 	return held
 }
--- a/internal/role/role_test.go
+++ b/internal/role/role_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
@@ -23,7 +24,7 @@
 	object  platform.Object
 	exists  bool
 	down    bool
-	version uint64
+	version history.Version
 }
 
 func (f *fakeStore) Get(context.Context, string, string) (platform.Object, error) {
@@ -43,7 +44,7 @@
 	return f.put(value)
 }
 
-func (f *fakeStore) Update(_ context.Context, _, _ string, version uint64, value any) (platform.Object, error) {
+func (f *fakeStore) Update(_ context.Context, _, _ string, version history.Version, value any) (platform.Object, error) {
 	if !f.down && version != f.object.Version {
 		return platform.Object{}, platform.ErrConflict
 	}
@@ -177,7 +178,7 @@
 	silent, reads := false, 0
 	counted := &readCounter{fakeStore: p.store, reads: &reads}
 	other.Store = counted
-	other.Ask = func(_ context.Context, role string, vm lease.VM) (uint64, bool) {
+	other.Ask = func(_ context.Context, role string, vm lease.VM) (history.Version, bool) {
 		g.Expect(role).To(Equal(holder.Name))
 		g.Expect(vm.Name).To(Equal(holder.Self.Name))
 		tenure := holder.Tenure()
@@ -236,3 +237,18 @@
 	last.Step(context.Background(), many)
 	g.Expect(reads).To(Equal(1))
 }
+
+// Guards against: a lease that the store lost counts as held, or is never taken anew.
+func TestALeaseThatTheStoreLostIsClaimedAnew(t *testing.T) {
+	g := NewWithT(t)
+	p := newPair()
+	g.Expect(p.pass(4 * time.Second)).To(Equal([]int{0}))
+	next, err := history.At(1, 1)
+	g.Expect(err).NotTo(HaveOccurred())
+	p.store.exists, p.store.version, p.store.object = false, next, platform.Object{}
+	p.pass(roleInterval)
+	g.Expect(p.roles[1].Held()).To(BeFalse())
+	g.Expect(p.pass(2 * roleInterval)).To(Equal([]int{0}))
+	g.Expect(p.store.object.Version.Era()).To(BeEquivalentTo(1))
+	g.Expect(p.roles[0].Tenure().Version).To(Equal(p.store.object.Version))
+}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -5,7 +5,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
@@ -88,7 +87,7 @@
 		Value:   value,
 	}, conditionOf(r.Header))
 	if !ok {
-		http.Error(w, "version is "+strconv.FormatUint(object.Version, 10), http.StatusPreconditionFailed)
+		http.Error(w, "version is "+object.Version.String(), http.StatusPreconditionFailed)
 		return
 	}
 	_ = json.NewEncoder(w).Encode(object)
@@ -100,7 +99,7 @@
 	case !existed:
 		http.Error(w, "no such object", http.StatusNotFound)
 	case !ok:
-		http.Error(w, "version is "+strconv.FormatUint(current.Version, 10), http.StatusPreconditionFailed)
+		http.Error(w, "version is "+current.Version.String(), http.StatusPreconditionFailed)
 	}
 }
 
--- a/internal/standin/platform_store.go
+++ b/internal/standin/platform_store.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -26,7 +26,7 @@
 	if c.absent && exists {
 		return false
 	}
-	return c.version == "" || (exists && c.version == strconv.FormatUint(current.Version, 10))
+	return c.version == "" || (exists && c.version == current.Version.String())
 }
 
 // shelf is the objects of one kind with their latest changes.
@@ -34,7 +34,7 @@
 	objects map[string]platform.Object
 	// history is in order of version. Changes up to compacted are gone from it.
 	history   []platform.WatchEvent
-	compacted uint64
+	compacted history.Version
 	// changed is closed and replaced at each change of the kind, so that a
 	// change wakes only the watches of its own kind.
 	changed chan struct{}
@@ -43,7 +43,7 @@
 // store holds the objects. Versions grow over all kinds.
 type store struct {
 	mu      sync.Mutex
-	version uint64
+	version history.Version
 	shelves map[string]*shelf
 }
 
@@ -132,18 +132,18 @@
 // changes are what happened to a kind after a version.
 type changes struct {
 	events    []platform.WatchEvent
-	version   uint64
+	version   history.Version
 	compacted bool
 	// more is closed at the kind's next change.
 	more <-chan struct{}
 }
 
-func (s *store) since(kind, prefix string, from uint64) changes {
+func (s *store) since(kind, prefix string, from history.Version) changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := s.shelf(kind)
 	result := changes{version: s.version, compacted: from < k.compacted, more: k.changed}
-	first, _ := slices.BinarySearchFunc(k.history, from+1, func(e platform.WatchEvent, version uint64) int {
+	first, _ := slices.BinarySearchFunc(k.history, from+1, func(e platform.WatchEvent, version history.Version) int {
 		return cmp.Compare(e.Object.Version, version)
 	})
 	for _, event := range k.history[first:] {
--- a/internal/standin/platform_watch.go
+++ b/internal/standin/platform_watch.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/platform"
 )
 
@@ -18,7 +19,7 @@
 		http.Error(w, "from is not a version", http.StatusBadRequest)
 		return
 	}
-	if p.store.since(r.PathValue("kind"), "", from).compacted {
+	if p.store.since(r.PathValue("kind"), "", history.Version(from)).compacted {
 		http.Error(w, "version is compacted", http.StatusGone)
 		return
 	}
@@ -26,12 +27,12 @@
 	if err != nil || bookmark <= 0 {
 		bookmark = defaultBookmark
 	}
-	p.streamWatch(w, r, from, bookmark)
+	p.streamWatch(w, r, history.Version(from), bookmark)
 }
 
 // streamWatch sends changes as they come and a bookmark at intervals. It ends
 // the watch when the changes that it has yet to send are compacted away.
-func (p *Platform) streamWatch(w http.ResponseWriter, r *http.Request, from uint64, bookmark time.Duration) {
+func (p *Platform) streamWatch(w http.ResponseWriter, r *http.Request, from history.Version, bookmark time.Duration) {
 	ticker := time.NewTicker(bookmark)
 	defer ticker.Stop()
 	kind, prefix := r.PathValue("kind"), r.URL.Query().Get("prefix")
--- a/internal/telemetry/events.go
+++ b/internal/telemetry/events.go
@@ -13,12 +13,13 @@
 
 // The events.
 var (
-	VMStarted     = Event{1001, "VM started"}
-	VMStopping    = Event{1002, "VM stopping"}
-	ConfigInForce = Event{2001, "configuration in force"}
-	PlatformLost  = Event{3001, "platform does not answer"}
-	PlatformBack  = Event{3002, "platform answers again"}
-	PlatformOlder = Event{3003, "platform's answer is older than what was seen; it is not used"}
+	VMStarted      = Event{1001, "VM started"}
+	VMStopping     = Event{1002, "VM stopping"}
+	ConfigInForce  = Event{2001, "configuration in force"}
+	PlatformLost   = Event{3001, "platform does not answer"}
+	PlatformBack   = Event{3002, "platform answers again"}
+	PlatformCopied = Event{3004, "platform came back from a copy: its revisions begin another history"}
+	PlatformOlder  = Event{3003, "platform's answer is older than what was seen; it is not used"}
 )
 
 // Log writes an event at the normal level.
