Let only answers that a server vouches for end its limit

A refusal or a broken answer need not name the rate; one without it ended the limit, and the server's next good answer set it again.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -99,7 +99,7 @@
 	o.response = response
 	answer := h.Wire.Answer(response)
 	if response.StatusCode != http.StatusMisdirectedRequest {
-		h.saidRate(x, o, answer.PerSecond)
+		h.saidRate(x, o, answer)
 	}
 	if answer.NotRun {
 		o.settle()
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -18,9 +18,13 @@
 	ratesBurst     = 20
 )
 
-// saidRate takes the rate that a server set in its answer.
-func (h *Handler) saidRate(x *exchange, o *opened, perSecond float64) {
-	server := o.sent.First.ID
+// saidRate takes the rate that a server set in its answer. Only an answer that the server
+// vouches for ends a limit: refusals and broken answers need not name one.
+func (h *Handler) saidRate(x *exchange, o *opened, answer Answer) {
+	server, perSecond := o.sent.First.ID, answer.PerSecond
+	if perSecond == ratelimit.Unlimited && (answer.NotRun || check(x, o.response, answer) != "") {
+		return
+	}
 	if math.IsNaN(perSecond) {
 		if h.rateLines.Allow() {
 			telemetry.RateUnread.Log(h.Log, "server", server, "request", x.call.ID)
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -52,3 +52,30 @@
 	g.Expect(served.Load()).To(BeNumerically("~", 2, 1))
 	g.Expect(runs.Load()).To(Equal(served.Load() + 1))
 }
+
+// Guards against: a refusal without a rate ends the limit that its server set.
+func TestARefusalDoesNotEndALimit(t *testing.T) {
+	g := NewWithT(t)
+	var sent atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+		if sent.Add(1) > 1 {
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("X-Response-Seal", "seal")
+		w.Header().Set("Server-Limit", "2")
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+	}))
+	t.Cleanup(server.Close)
+	front := smallFront(t, budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, VMs: 1}, server)
+	g.Expect(ask(g, front, "first")).To(Equal(http.StatusOK))
+	begun := time.Now()
+	var callers sync.WaitGroup
+	for i := range 8 {
+		callers.Go(func() { g.Expect(ask(g, front, fmt.Sprint("r", i))).To(Equal(http.StatusServiceUnavailable)) })
+	}
+	callers.Wait()
+	g.Expect(float64(sent.Load())).To(BeNumerically("<=", 2+2*time.Since(begun).Seconds()))
+}
