Tell a request that a server refused why, though it had waited for a rate

By reading the change. A request that waits for a server's rate and is then refused by the server, or runs out of its time, was told servers_limited with the time of its turn: the mark was set while it waited and stayed. Concerns servers that set a rate only.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -59,16 +59,16 @@
 	request := h.request(x)
 	queue, limited := queue{h: h, service: x.service.Name}, new(backends.LimitError)
 	defer queue.leave()
-	x.limited, x.due = false, 0
 	for {
 		choice, load, err := h.Dispatcher.choose(x.service, request)
+		x.limited, x.due = errors.As(err, &limited), 0
 		if err == nil {
 			x.timing.room += time.Since(begun)
 			ctx, cancel := context.WithCancelCause(x.ctx)
 			return &opened{choice: choice, sent: choice, load: load, ctx: ctx, cancel: cancel}, nil
 		}
 		left, late := wait.over(err)-time.Since(begun), false
-		if x.limited = errors.As(err, &limited); x.limited {
+		if x.limited {
 			x.due, late = queue.late(limited, left)
 		}
 		if late || request.Force {
--- a/internal/relay/limits_test.go
+++ b/internal/relay/limits_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -53,10 +54,10 @@
 	g.Expect(runs.Load()).To(Equal(served.Load() + 1))
 }
 
-// Guards against: a refusal without a rate ends the limit that its server set.
-func TestARefusalDoesNotEndALimit(t *testing.T) {
-	g := NewWithT(t)
-	var sent atomic.Int32
+// refusingFront is a VM before a server that set a rate in its first answer, and refuses all
+// requests after that. sent counts what reaches the server.
+func refusingFront(t *testing.T, g *WithT, repeats budget.Options) (front *httptest.Server, sent *atomic.Int32) {
+	sent = new(atomic.Int32)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
 		w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
 		if sent.Add(1) > 1 {
@@ -69,8 +70,33 @@
 		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
 	}))
 	t.Cleanup(server.Close)
-	front := smallFront(t, budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, VMs: 1}, server)
+	front = smallFront(t, repeats, server)
 	g.Expect(ask(g, front, "first")).To(Equal(http.StatusOK))
+	return front, sent
+}
+
+// Guards against: a request that a server refused is told that its rate was the cause.
+func TestARequestThatWaitedForARateIsToldWhyItIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	front, sent := refusingFront(t, g, budget.Options{Window: 10 * time.Second, VMs: 1})
+	var callers sync.WaitGroup
+	var refused atomic.Int32
+	for i := range 6 {
+		callers.Go(func() {
+			if _, body := wholeAnswerTo(g, front, fmt.Sprint("r", i)); strings.Contains(body, "servers_refused") {
+				refused.Add(1)
+			}
+		})
+	}
+	callers.Wait()
+	g.Expect(sent.Load()).To(BeNumerically(">", 1))
+	g.Expect(refused.Load()).To(Equal(sent.Load() - 1))
+}
+
+// Guards against: a refusal without a rate ends the limit that its server set.
+func TestARefusalDoesNotEndALimit(t *testing.T) {
+	g := NewWithT(t)
+	front, sent := refusingFront(t, g, budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, VMs: 1})
 	begun := time.Now()
 	var callers sync.WaitGroup
 	for i := range 8 {
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -114,14 +114,16 @@
 
 // giveUp is the truth about a request that could not be served.
 func (x *exchange) giveUp(reason Reason) *refusal {
-	if errors.Is(context.Cause(x.ctx), errDeadline) {
+	timeout := errors.Is(context.Cause(x.ctx), errDeadline)
+	if timeout {
 		reason = ReasonTimeout
 	}
-	if x.mayHaveRun {
+	switch {
+	case x.mayHaveRun:
 		return unknown(reason)
-	}
-	if x.limited {
+	case x.limited && !timeout:
 		return notRun(ReasonLimited, max(x.due, comeBack))
+	default:
+		return notRun(reason, comeBack)
 	}
-	return notRun(reason, comeBack)
 }
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -88,6 +88,12 @@
 
 // answerTo sends a request to a VM and returns the head of its answer, which is read whole.
 func answerTo(g *WithT, front *httptest.Server, id string) *http.Response {
+	head, _ := wholeAnswerTo(g, front, id)
+	return head
+}
+
+// wholeAnswerTo sends a request to a VM and returns its answer.
+func wholeAnswerTo(g *WithT, front *httptest.Server, id string) (head *http.Response, body string) {
 	request, err := http.NewRequest(http.MethodPost, front.URL+"/", strings.NewReader("{}"))
 	g.Expect(err).NotTo(HaveOccurred())
 	request.Host = "a.example"
@@ -96,9 +102,9 @@
 	response, err := http.DefaultClient.Do(request)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
-	_, err = io.Copy(io.Discard, response.Body)
+	text, err := io.ReadAll(response.Body)
 	g.Expect(err).NotTo(HaveOccurred())
-	return response
+	return response, string(text)
 }
 
 // Symptom: after a loss of power of all VMs 525 requests are refused within 0.3 s as
