--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -127,7 +127,15 @@
 
 // New makes an empty fleet.
 func New() *Fleet {
-	return &Fleet{servers: make(map[string]*known), index: newIndex(), left: make(map[string]departure), sums: make(map[string]Usage), limits: ratelimit.New(), unreached: make(map[string]time.Duration), signs: usualSigns}
+	return &Fleet{
+		servers:   make(map[string]*known),
+		index:     newIndex(),
+		left:      make(map[string]departure),
+		sums:      make(map[string]Usage),
+		unreached: make(map[string]time.Duration),
+		limits:    ratelimit.New(),
+		signs:     usualSigns,
+	}
 }
 
 // Serve takes the services of the configuration in force.
--- a/internal/edge/tally.go
+++ b/internal/edge/tally.go
@@ -80,8 +80,16 @@
 
 func newTallies(talk *peers, proof *proofKeeper) *tallies {
 	return &tallies{
-		self: talk.self, dataCentre: talk.dataCentre, dispatcher: talk.dispatcher, dialer: talk.dialer, log: talk.log, proof: proof, reaches: newReaches(),
-		everywhere: talk.everywhere, settled: talk.settled, hub: tally.NewHub(talk.dataCentre),
+		self:       talk.self,
+		dataCentre: talk.dataCentre,
+		dispatcher: talk.dispatcher,
+		dialer:     talk.dialer,
+		log:        talk.log,
+		everywhere: talk.everywhere,
+		settled:    talk.settled,
+		proof:      proof,
+		reaches:    newReaches(),
+		hub:        tally.NewHub(talk.dataCentre),
 	}
 }
 
@@ -237,7 +245,13 @@
 
 // readTally reads a tally whose ages count up to a moment.
 func readTally(from *tallyv1.Tally, at time.Duration) tally.Tally {
-	to := tally.Tally{VMs: int(from.GetVms()), Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration), Rates: readRates(from, at)}
+	to := tally.Tally{
+		VMs:    int(from.GetVms()),
+		Loads:  make(map[string]backends.Usage),
+		Counts: make(map[string]budget.Count),
+		Full:   make(map[string]time.Duration),
+		Rates:  readRates(from, at),
+	}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
 			to.Full[id] = time.Duration(from.GetFullMillis()[i]) * time.Millisecond
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -82,7 +82,16 @@
 // New makes a handler.
 func New(options Options) *Handler {
 	pooled, fresh := wire.Transports(connectTimeout, nil, idlePerServer)
-	return &Handler{Options: options, pooled: pooled, fresh: fresh, reports: newReports(options.Engines), suspects: newSuspects(), lateLines: rate.NewLimiter(latePerSecond, lateBurst), rateLines: rate.NewLimiter(ratesPerSecond, ratesBurst), watches: watches{all: make(map[*watchdog]struct{})}}
+	return &Handler{
+		Options:   options,
+		pooled:    pooled,
+		fresh:     fresh,
+		reports:   newReports(options.Engines),
+		suspects:  newSuspects(),
+		watches:   watches{all: make(map[*watchdog]struct{})},
+		lateLines: rate.NewLimiter(latePerSecond, lateBurst),
+		rateLines: rate.NewLimiter(ratesPerSecond, ratesBurst),
+	}
 }
 
 // InFlight is the number of requests that are being served.
