--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -220,3 +220,29 @@
 	g.Expect(float64(repeats)).To(BeNumerically("<=", bound))
 	g.Expect(float64(repeats)).To(BeNumerically(">", 0.7*bound), "most of it is used")
 }
+
+// Guards against: VMs that ask again and again draw for the same last repeats until each wins.
+func TestVMsThatAskAgainKeepASmallBound(t *testing.T) {
+	g := NewWithT(t)
+	const vms, requests, slack, ratio = 24, 120, 5, 0.02
+	random := rand.New(rand.NewPCG(1, 1))
+	fleet := &fleet{groups: 1}
+	for range vms {
+		fleet.vms = append(fleet.vms, budget.New(budget.Options{Ratio: ratio, Slack: slack, Window: 10 * time.Second, VMs: 12, Random: random.Float64}))
+	}
+	for i := range requests {
+		fleet.vms[i%vms].Request(time.Second, "s")
+	}
+	repeats := 0
+	for now := time.Second; now < 3*time.Second; now += 50 * time.Millisecond {
+		if now%(750*time.Millisecond) == 0 {
+			fleet.talk(now)
+		}
+		for _, vm := range fleet.vms {
+			if vm.Repeat(now, "s", 0.75) {
+				repeats++
+			}
+		}
+	}
+	g.Expect(float64(repeats)).To(BeNumerically("<=", ratio*requests+slack))
+}
