Name the number of a history, and the VMs that send, by plain terms

The store's word for the number of its history stays in platform/. 'Users' of a limited server were VMs, while the word means callers elsewhere. Renames only.

--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -97,7 +97,7 @@
 // Leave takes another VM's word that a server leaves or has left. What this VM read
 // later goes before it.
 func (f *Fleet) Leave(now time.Duration, gone Departure) {
-	copied := gone.Revision > 0 && gone.Revision.Era() < f.copied.Era()
+	copied := gone.Revision > 0 && gone.Revision.History() < f.copied.History()
 	if copied {
 		gone.Revision = f.copied
 	}
--- a/internal/core/backends/histories.go
+++ b/internal/core/backends/histories.go
@@ -26,7 +26,7 @@
 // had left may be as old as the copy.
 func (f *Fleet) enter(now time.Duration, listed history.Version) {
 	first := f.copied == 0
-	if !first && listed.Era() <= f.copied.Era() {
+	if !first && listed.History() <= f.copied.History() {
 		return
 	}
 	f.copied = listed
@@ -44,7 +44,7 @@
 // mayBeCopied tells whether an entry may be as old as the copy, though what is known of
 // another one is of a former history.
 func (f *Fleet) mayBeCopied(entry, other history.Version) bool {
-	return entry <= f.copied && other.Era() < entry.Era()
+	return entry <= f.copied && other.History() < entry.History()
 }
 
 // returnCopied has servers back whose entries were only in the copy, once they would have
--- a/internal/core/backends/histories_test.go
+++ b/internal/core/backends/histories_test.go
@@ -11,8 +11,8 @@
 )
 
 // in is a revision of a history.
-func in(era, revision uint64) history.Version {
-	version, err := history.At(era, revision)
+func in(number, revision uint64) history.Version {
+	version, err := history.At(number, revision)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/core/history/history_test.go
+++ b/internal/core/history/history_test.go
@@ -10,8 +10,8 @@
 	"oleandershunt.example/oleandershunt/internal/core/history"
 )
 
-func at(t rapid.TB, era, revision uint64) history.Version {
-	version, err := history.At(era, revision)
+func at(t rapid.TB, number, revision uint64) history.Version {
+	version, err := history.At(number, revision)
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	return version
 }
@@ -20,11 +20,11 @@
 func TestVersionsAreOrderedByHistoryFirst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		g := NewWithT(t)
-		eras, revisions := rapid.Uint64Range(0, 1<<16-1), rapid.Uint64Range(0, 1<<48-1)
-		a, b := [2]uint64{eras.Draw(t, "era"), revisions.Draw(t, "revision")}, [2]uint64{eras.Draw(t, "era"), revisions.Draw(t, "revision")}
+		numbers, revisions := rapid.Uint64Range(0, 1<<16-1), rapid.Uint64Range(0, 1<<48-1)
+		a, b := [2]uint64{numbers.Draw(t, "history"), revisions.Draw(t, "revision")}, [2]uint64{numbers.Draw(t, "history"), revisions.Draw(t, "revision")}
 		v, w := at(t, a[0], a[1]), at(t, b[0], b[1])
 		g.Expect(v < w).To(Equal(a[0] < b[0] || a[0] == b[0] && a[1] < b[1]))
-		g.Expect([2]uint64{v.Era(), v.Revision()}).To(Equal(a))
+		g.Expect([2]uint64{v.History(), v.Revision()}).To(Equal(a))
 	})
 }
 
--- a/internal/core/ratelimit/shares.go
+++ b/internal/core/ratelimit/shares.go
@@ -63,23 +63,23 @@
 // as have one request a second each: the burst of one for each of hundreds would be more
 // than the server takes.
 func (l *Limits) share(id, dataCentre string, perSecond float64) float64 {
-	users := usersOf(id, dataCentre, l.vms)
-	users = users[:min(len(users), max(int(usedPart*perSecond), 1))]
-	if !slices.ContainsFunc(users, func(vm lease.VM) bool { return vm.Name == l.self }) {
+	senders := sendersOf(id, dataCentre, l.vms)
+	senders = senders[:min(len(senders), max(int(usedPart*perSecond), 1))]
+	if !slices.ContainsFunc(senders, func(vm lease.VM) bool { return vm.Name == l.self }) {
 		return 0
 	}
-	return usedPart * perSecond / float64(len(users))
+	return usedPart * perSecond / float64(len(senders))
 }
 
-// usersOf ranks the VMs that may send to a limited server: those of its data centre, where
+// sendersOf ranks the VMs that may send to a limited server: those of its data centre, where
 // any of them lives. VMs that know the same ones live have the same order.
-func usersOf(id, dataCentre string, vms []lease.VM) []lease.VM {
+func sendersOf(id, dataCentre string, vms []lease.VM) []lease.VM {
 	near := slices.DeleteFunc(slices.Clone(vms), func(vm lease.VM) bool { return vm.DataCentre != dataCentre })
 	if len(near) == 0 {
 		near = slices.Clone(vms)
 	}
 	for i := range near {
-		// Not by processor time, or the same VMs would be the users of all servers.
+		// Not by processor time, or the same VMs would be the senders of all servers.
 		near[i].Cores = 0
 	}
 	return lease.Rank(role+id, dataCentre, near)
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -99,7 +99,7 @@
 func (m *memory) comeBack(from saved) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	version, err := history.At(m.version.Era()+1, from.version.Revision())
+	version, err := history.At(m.version.History()+1, from.version.Revision())
 	if err != nil {
 		panic(err)
 	}
@@ -174,7 +174,7 @@
 		m.failed++
 		return nil, 0, nil, objects.ErrUnavailable
 	}
-	if version > m.version || version.Era() != m.version.Era() {
+	if version > m.version || version.History() != m.version.History() {
 		return nil, 0, nil, objects.ErrCompacted
 	}
 	var fresh []objects.WatchEvent
--- a/internal/edge/servers.go
+++ b/internal/edge/servers.go
@@ -80,7 +80,7 @@
 		}
 	}
 	l.back()
-	if l.listed > 0 && l.listed.Era() < list.Version.Era() {
+	if l.listed > 0 && l.listed.History() < list.Version.History() {
 		telemetry.PlatformCopied.Log(l.log, "kind", l.parts.Servers.Kind, "revision", list.Version.String(), "before", l.listed.String())
 	}
 	l.listed = list.Version
--- a/internal/mirror/follower.go
+++ b/internal/mirror/follower.go
@@ -220,7 +220,7 @@
 	if err == nil {
 		page, proof, ok = decode(f.Kind, response, sent)
 	}
-	if !ok || page.Version.Era() < version.Era() || f.Now()-proof.At > believed {
+	if !ok || page.Version.History() < version.History() || f.Now()-proof.At > believed {
 		metrics.GetOrCreateCounter(`oleandershunt_mirror_answers_total{result="nothing"}`).Inc()
 		f.mu.Lock()
 		f.doubts[vm] = f.Now() + doubted
--- a/internal/role/role_test.go
+++ b/internal/role/role_test.go
@@ -249,6 +249,6 @@
 	p.pass(roleInterval)
 	g.Expect(p.roles[1].Held()).To(BeFalse())
 	g.Expect(p.pass(2 * roleInterval)).To(Equal([]int{0}))
-	g.Expect(p.store.object.Version.Era()).To(BeEquivalentTo(1))
+	g.Expect(p.store.object.Version.History()).To(BeEquivalentTo(1))
 	g.Expect(p.roles[0].Tenure().Version).To(Equal(p.store.object.Version))
 }
