Log and count what a backend server's refusal asks for, and that it leaves

The head of an answer now has one type for what the server asks of the VM: its rate, a pause, that it leaves. It is decoded once, and handed over for each answer whatever its status. 4204 has the pause, 4217 to 4219 say what was asked for, and attempts within a pause are counted by kind. No choice reads any of it yet.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -116,6 +117,8 @@
 	sums map[string]Usage
 	// limits are the request rates that servers set.
 	limits *ratelimit.Limits
+	// pauses are the servers that want no requests of this VM for a time.
+	pauses *backpressure.Pauses
 	// others is how many VMs they are, and live how many VMs there are, this one included,
 	// whether or not they are in the sums yet.
 	others, live int
@@ -134,6 +137,7 @@
 		sums:      make(map[string]Usage),
 		unreached: make(map[string]time.Duration),
 		limits:    ratelimit.New(),
+		pauses:    backpressure.NewPauses(),
 		signs:     usualSigns,
 	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -87,7 +87,7 @@
 	if x.route.Repeat == routes.Once {
 		transport = h.fresh
 	}
-	h.countLimited(x, o)
+	h.countSignalled(x, o)
 	x.sends++
 	begun := time.Now()
 	o.begun = bootclock.Now()
@@ -98,9 +98,7 @@
 	}
 	o.response = response
 	answer := h.Wire.Answer(response)
-	if response.StatusCode != http.StatusMisdirectedRequest {
-		h.saidRate(x, o, answer)
-	}
+	h.signalled(x, o, answer)
 	if answer.NotRun {
 		o.settle()
 		return h.notTaken(x, o, answer, time.Since(begun))
@@ -163,7 +161,7 @@
 		h.Dispatcher.full(blamed)
 	}
 	telemetry.RelayAttemptRefused.Log(h.Log, append(x.fields(), "server", o.choice.First.ID, "blamed", blamed,
-		"status", o.response.StatusCode, "path", o.choice.Path.String())...)
+		"status", o.response.StatusCode, "pauseMs", max(answer.Signals.Pause, 0).Milliseconds(), "path", o.choice.Path.String())...)
 	return notStarted
 }
 
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -75,8 +75,8 @@
 	suspects      *suspects
 	// lateLines bounds the lines on late answers.
 	lateLines *rate.Limiter
-	// rateLines bounds the lines on servers' request rates.
-	rateLines *rate.Limiter
+	// signalLines bounds the lines on what servers ask for.
+	signalLines *rate.Limiter
 }
 
 // New makes a handler.
@@ -90,7 +90,8 @@
 		suspects:  newSuspects(),
 		watches:   watches{all: make(map[*watchdog]struct{})},
 		lateLines: rate.NewLimiter(latePerSecond, lateBurst),
-		rateLines: rate.NewLimiter(ratesPerSecond, ratesBurst),
+
+		signalLines: rate.NewLimiter(signalsPerSecond, signalsBurst),
 	}
 }
 
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 )
 
@@ -55,9 +56,8 @@
 	// Blame is the address of the server on the path that is at fault. Empty
 	// when it is the first one, or unknown.
 	Blame string
-	// PerSecond is the requests a second that the server takes from all VMs together:
-	// ratelimit.Unlimited where it sets no rate, NaN where that can't be read.
-	PerSecond float64
+	// Signals are what the server asks of this VM, whatever became of the request.
+	Signals backpressure.Signals
 }
 
 // Wire translates messages. It decides nothing.
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -18,6 +18,9 @@
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
+	PauseAsked          = Event{4217, "backend server wants no requests for a time"}
+	PauseUnread         = Event{4218, "pause that a backend server asks for can't be read"}
+	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
 // Events of the process that forwards requests.
