--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -54,22 +54,37 @@
 	return front
 }
 
+// smallEngine runs 80 layers on cards with room for one request.
+func smallEngine() *routes.Engine {
+	return &routes.Engine{Layers: 80, LayerMB: 1, TokenBytes: 1 << 20, Step: time.Millisecond, Prompt: 100, Answer: 10, Cards: map[string]routes.Card{"c": {MB: 250, Pace: 1}}}
+}
+
 // unconfiguredFront is the same before its first configuration, and what brings that in force.
 func unconfiguredFront(t *testing.T, repeats budget.Options, servers ...*httptest.Server) (front *httptest.Server, configure func()) {
-	engine := &routes.Engine{Layers: 80, LayerMB: 1, TokenBytes: 1 << 20, Step: time.Millisecond, Prompt: 100, Answer: 10, Cards: map[string]routes.Card{"c": {MB: 250, Pace: 1}}}
 	route := routes.Route{
 		Host: "a.example", Prefix: "/", Repeat: routes.Resumable, Stream: true, Attempts: 2, Target: 600 * time.Millisecond,
 		Shares: []routes.Share{{Service: "llm", Weight: 1}},
 	}
+	front, _, configure = frontOf(t, repeats, route, routes.Service{Name: "llm", Engine: smallEngine()}, servers...)
+	return front, configure
+}
+
+// frontOf is a VM before servers of a service, what decides in it, and what brings its first
+// configuration in force, which has one route.
+func frontOf(t *testing.T, repeats budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (front *httptest.Server, d *relay.Dispatcher, configure func()) {
 	start := time.Now()
-	d := relay.NewDispatcher(func() time.Duration { return time.Since(start) + time.Second }, budget.New(repeats))
-	table := routes.New(1, routes.Limits{}, []routes.Route{route}, []routes.Service{{Name: "llm", Engine: engine}}, nil)
+	d = relay.NewDispatcher(func() time.Duration { return time.Since(start) + time.Second }, budget.New(repeats))
+	table := routes.New(1, routes.Limits{}, []routes.Route{route}, []routes.Service{service}, nil)
 	var list []backends.Server
 	for i, server := range servers {
-		list = append(list, backends.Server{
-			ID: fmt.Sprint("s", i+1), Service: "llm", Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "a", Card: "c",
-			Holds: []backends.Held{{Layers: api.Layers{From: 0, To: 80}}},
-		})
+		listed := backends.Server{
+			ID: fmt.Sprint("s", i+1), Service: service.Name, Address: strings.TrimPrefix(server.URL, "http://"), DataCentre: "a", Slots: 4,
+		}
+		if service.Engine != nil {
+			listed.Card, listed.Slots = "c", 0
+			listed.Holds = []backends.Held{{Layers: api.Layers{From: 0, To: 80}}}
+		}
+		list = append(list, listed)
 	}
 	d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
 	d.Members("vm-1", []lease.VM{{Name: "vm-1", DataCentre: "a"}})
@@ -78,7 +93,7 @@
 		Proven: func() bool { return true }, Patience: time.Second,
 	}))
 	t.Cleanup(front.Close)
-	return front, func() { d.SetTable(table) }
+	return front, d, func() { d.SetTable(table) }
 }
 
 // ask sends a request to a VM and returns the status of its answer, which is read whole.
