Keep to the pauses that backend servers ask for

On paths a server that refused was left alone for 0.2 s doubling to 1.6 s; plain servers were left alone by the request that was refused only.

The pause is kept by process of the server, in the one place where servers are chosen, so no kind of attempt overrides it: first, repeat, resumption, move, a server taken without room. It is that of the server that answered, and of the one at fault where it names another. A request is looked at once more when its first byte is written, since a connect may take as long as the server grants. When all servers that could take a request rest for longer than it waits, it is refused at once with the soonest end, and takes no repeat. After the end one request each 0.2 s tries the server until it takes one.

Ruled out: asking the back-off to last longer. It is doubled by guesses, told to other VMs, and overridden at the end of a request's wait; a pause is neither a guess nor theirs.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -301,6 +301,7 @@
 			f.drop(now, Departure{ID: id, Revision: k.missing})
 		}
 	}
+	f.pauses.Tidy(now)
 	f.returnCopied(now)
 	for id, left := range f.left {
 		if _, present := f.servers[id]; !present && now > left.at+leftKept {
@@ -477,5 +478,5 @@
 	if k.DataCentre != request.DataCentre && now < f.unreached[k.DataCentre] {
 		return false
 	}
-	return !k.Draining && now >= k.suspectUntil && !slices.Contains(request.Avoid, k.ID)
+	return !k.Draining && now >= k.suspectUntil && !f.pausedNow(now, k.ID, request) && !slices.Contains(request.Avoid, k.ID)
 }
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"iter"
 	"math"
 	"slices"
 	"strings"
@@ -32,6 +33,8 @@
 	Version int
 	// anyRate leaves the request rates of servers out of account.
 	anyRate bool
+	// pausesAt is the moment at which pauses are looked at, where that is later than now.
+	pausesAt time.Duration
 }
 
 // Choice is where an attempt goes.
@@ -57,6 +60,21 @@
 	return load
 }
 
+// servers lists the servers that the request runs on.
+func (c Choice) servers() iter.Seq[string] {
+	return func(yield func(string) bool) {
+		if len(c.Path) == 0 {
+			yield(c.First.ID)
+			return
+		}
+		for _, part := range c.Path {
+			if !yield(part.ID) {
+				return
+			}
+		}
+	}
+}
+
 // At is the server of the choice at an address. Another process may be at the
 // address by now, so the list isn't asked. False when none of the path's is there.
 func (c Choice) At(address string) (string, bool) {
@@ -105,8 +123,8 @@
 )
 
 // Path chooses the servers that run a request through all layers of a model. An
-// error that wraps ErrFull says that there are paths, but none with room; a LimitError that
-// the servers with the first layers are at their request rates.
+// error that wraps ErrFull says that there are paths, but none with room; a Deferral that its
+// servers are at their request rates, or asked for a pause.
 func (f *Fleet) Path(now time.Duration, service routes.Service, request Request) (Choice, error) {
 	if choice, ok := f.choose(now, service, request); ok {
 		return choice, nil
@@ -116,7 +134,7 @@
 	if _, ok := f.choose(now, service, forced); ok && !request.Force {
 		return Choice{}, ErrFull
 	}
-	if err := f.limited(now, service, request); err != nil {
+	if err := f.deferred(now, service, request); err != nil {
 		return Choice{}, err
 	}
 	if !request.Force {
@@ -281,6 +299,17 @@
 // all servers idle. Where the first one in order is taken then, all VMs take the same. One
 // notices a server with a queue beside idle ones.
 func (f *Fleet) Instance(now time.Duration, service string, request Request) (Choice, error) {
+	if best := f.instance(now, service, request); best != nil {
+		return Choice{First: best.Server, Taken: f.expectedRunning(best)}, nil
+	}
+	if err := f.deferred(now, routes.Service{Name: service}, request); err != nil {
+		return Choice{}, err
+	}
+	return Choice{}, fmt.Errorf("%w: service %s has no server that is ready", ErrNoServer, service)
+}
+
+// instance is the server for a request to a plain service; nil for none.
+func (f *Fleet) instance(now time.Duration, service string, request Request) *known {
 	var best *known
 	least := 0.0
 	for _, k := range f.servers {
@@ -295,15 +324,7 @@
 			best, least = k, load
 		}
 	}
-	if best == nil && !request.anyRate {
-		if err := f.limited(now, routes.Service{Name: service}, request); err != nil {
-			return Choice{}, err
-		}
-	}
-	if best == nil {
-		return Choice{}, fmt.Errorf("%w: service %s has no server that is ready", ErrNoServer, service)
-	}
-	return Choice{First: best.Server, Taken: f.expectedRunning(best)}, nil
+	return best
 }
 
 // farLoad is how much busier, in parts of its slots, a server of the own data
--- a/internal/core/backends/limits.go
+++ b/internal/core/backends/limits.go
@@ -24,8 +24,7 @@
 	return fmt.Sprintf("servers of service %q are at the request rates that they set, of which this VM has %.2f a second: let more servers take requests", e.Service, e.PerSecond)
 }
 
-// Due is in what time a request may be sent that comes after so many others. False where
-// that isn't known.
+// Due implements Deferral.
 func (e *LimitError) Due(ahead int) (time.Duration, bool) {
 	if e.PerSecond <= 0 {
 		return 0, false
@@ -33,6 +32,9 @@
 	return e.Wait + time.Duration(float64(ahead)/e.PerSecond*float64(time.Second)), true
 }
 
+// before tells whether this VM may send a request sooner than a pause ends.
+func (e *LimitError) before(paused *PauseError) bool { return e.PerSecond > 0 && e.Wait <= paused.Wait }
+
 // SaidRate takes the rate that a server set in its answer to a request that was sent at a
 // moment. It returns whether that is news.
 func (f *Fleet) SaidRate(now, sent time.Duration, id string, perSecond float64) bool {
@@ -60,9 +62,13 @@
 // Limited tells whether a server sets a rate.
 func (f *Fleet) Limited(id string) bool { return f.limits.Word(id).Limited() }
 
-// Sent counts a request that is sent to a server, as the first one of its path or the only
-// one.
-func (f *Fleet) Sent(now time.Duration, id string) { f.limits.Sent(now, id) }
+// Sent counts a request that is sent to the servers of a choice.
+func (f *Fleet) Sent(now time.Duration, choice Choice) {
+	f.limits.Sent(now, choice.First.ID)
+	for id := range choice.servers() {
+		f.pauses.Sent(now, id)
+	}
+}
 
 // mayBegin tells whether a server may get a request by its rate.
 func (f *Fleet) mayBegin(now time.Duration, id string, request Request) bool {
@@ -70,13 +76,8 @@
 }
 
 // limited returns why a request can't be sent now that could be without limits, or nil.
-func (f *Fleet) limited(now time.Duration, service routes.Service, request Request) error {
-	request.Force, request.anyRate = true, true
-	if service.Engine == nil {
-		if _, err := f.Instance(now, service.Name, request); err != nil {
-			return nil
-		}
-	} else if _, ok := f.choose(now, service, request); !ok {
+func (f *Fleet) limited(now time.Duration, service routes.Service, request Request) *LimitError {
+	if !f.possible(now, service, request) {
 		return nil
 	}
 	err := &LimitError{Service: service.Name}
--- a/internal/core/backends/limits_test.go
+++ b/internal/core/backends/limits_test.go
@@ -33,7 +33,7 @@
 	choice, err := f.Path(now, service(), request())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(choice.First.ID).To(Equal("s1"), "its next request is due")
-	f.Sent(now, "s1")
+	f.Sent(now, choice)
 	choice, err = f.Path(now, service(), request())
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(choice.First.ID).To(Equal("s3"))
--- /dev/null
+++ b/internal/core/backpressure/pauses_test.go
@@ -0,0 +1,55 @@
+package backpressure_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
+)
+
+// Guards against: a pause ends early by a shorter one, or by an answer to an earlier request.
+func TestAPauseLastsAsLongAsItsServerAskedFor(t *testing.T) {
+	g := NewWithT(t)
+	p := backpressure.NewPauses()
+	g.Expect(p.Ask(0, "s1", 3*time.Second)).To(BeTrue())
+	g.Expect(p.Ask(time.Second, "s1", time.Second)).To(BeFalse(), "it is paused already")
+	p.Took(2*time.Second, 0, "s1")
+	g.Expect(p.Active(2999*time.Millisecond, "s1")).To(BeTrue())
+	g.Expect(p.Until("s1")).To(Equal(3 * time.Second))
+	g.Expect(p.Active(3*time.Second, "s1")).To(BeFalse())
+	g.Expect(p.Until("s2")).To(BeZero())
+	g.Expect(p.Ask(4*time.Second, "s1", time.Second)).To(BeTrue())
+	g.Expect(p.Until("s1")).To(Equal(5 * time.Second))
+}
+
+// Guards against: all requests that waited for the end of a pause come at once.
+func TestOneRequestAfterTheOtherTriesAServerWhosePauseIsOver(t *testing.T) {
+	g := NewWithT(t)
+	p := backpressure.NewPauses()
+	p.Ask(0, "s1", time.Second)
+	sent := 0
+	for now := time.Duration(0); now < 2*time.Second; now += 10 * time.Millisecond {
+		if p.Until("s1") <= now {
+			p.Sent(now, "s1")
+			sent++
+		}
+	}
+	g.Expect(sent).To(BeNumerically("~", 5, 1))
+	p.Took(2*time.Second, 500*time.Millisecond, "s1")
+	g.Expect(p.Until("s1")).To(BeNumerically(">", 1900*time.Millisecond), "it was sent before the end of the pause")
+	p.Took(2*time.Second, 1100*time.Millisecond, "s1")
+	g.Expect(p.Until("s1")).To(BeZero())
+}
+
+// Guards against: servers that are gone are remembered for good.
+func TestPausesThatEndedLongAgoAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p := backpressure.NewPauses()
+	p.Ask(0, "s1", time.Second)
+	p.Ask(0, "s2", 10*time.Minute)
+	p.Tidy(2 * time.Minute)
+	g.Expect(p.Until("s1")).To(BeZero())
+	g.Expect(p.Ends(2*time.Minute, func(string) bool { return true })).To(Equal([]time.Duration{10 * time.Minute}))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,11 +3,14 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -40,6 +43,8 @@
 	notStarted
 	// uncertain: the server may have run it.
 	uncertain
+	// unsent: nothing reached the server, which wanted no more requests when it was to be sent.
+	unsent
 )
 
 // opened is an attempt whose answer's head has come.
@@ -81,17 +86,21 @@
 
 // send makes the attempt and reads the head of its answer.
 func (h *Handler) send(x *exchange, o *opened) fate {
-	ctx, sent := wire.WatchSent(o.ctx)
+	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.wanted(o.sent.First.ID) })
 	request := h.outgoing(ctx, x, o.sent)
 	transport := h.pooled
 	if x.route.Repeat == routes.Once {
 		transport = h.fresh
 	}
-	h.countSignalled(x, o)
+	h.countLimited(x, o)
 	x.sends++
 	begun := time.Now()
 	o.begun = bootclock.Now()
 	response, err := transport.RoundTrip(request)
+	if sent.Withheld() {
+		o.settle()
+		return h.withheld(x, o)
+	}
 	if err != nil {
 		o.settle()
 		return h.unanswered(x, o, sent.Any(), err)
@@ -99,6 +108,7 @@
 	o.response = response
 	answer := h.Wire.Answer(response)
 	h.signalled(x, o, answer)
+	h.Dispatcher.took(o, answer)
 	if answer.NotRun {
 		o.settle()
 		return h.notTaken(x, o, answer, time.Since(begun))
@@ -112,6 +122,14 @@
 	return answered
 }
 
+// withheld gives an attempt up that its server didn't want any more when it was to be sent.
+func (h *Handler) withheld(x *exchange, o *opened) fate {
+	x.sends--
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_withheld_total{kind=%q}", x.attemptKind())).Inc()
+	telemetry.RelayWithheld.Log(h.Log, append(x.fields(), "server", o.sent.First.ID)...)
+	return unsent
+}
+
 // unanswered judges an attempt that got no answer.
 func (h *Handler) unanswered(x *exchange, o *opened, sent bool, err error) fate {
 	if x.ctx.Err() != nil {
@@ -153,6 +171,8 @@
 		// is blamed gave up the layers. So it isn't proof that the server is lost.
 		h.Dispatcher.lost(blamed, false)
 		x.avoid = append(x.avoid, blamed)
+	case answer.Signals.Pause > 0:
+		// It has said itself for how long, and may take the request after that.
 	case len(o.choice.Path) == 0:
 		h.Dispatcher.full(blamed)
 		x.avoid = append(x.avoid, blamed)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -57,19 +57,20 @@
 	begun := time.Now()
 	step := waitStep
 	request := h.request(x)
-	queue, limited := queue{h: h, service: x.service.Name}, new(backends.LimitError)
+	queue := queue{h: h, service: x.service.Name}
 	defer queue.leave()
 	for {
 		choice, load, err := h.Dispatcher.choose(x.service, request)
-		x.limited, x.due = errors.As(err, &limited), 0
+		x.deferred, x.due = "", 0
 		if err == nil {
 			x.timing.room += time.Since(begun)
 			ctx, cancel := context.WithCancelCause(x.ctx)
 			return &opened{choice: choice, sent: choice, load: load, ctx: ctx, cancel: cancel}, nil
 		}
 		left, late := wait.over(err)-time.Since(begun), false
-		if x.limited {
-			x.due, late = queue.late(limited, left)
+		if deferral := backends.Deferral(nil); errors.As(err, &deferral) {
+			x.deferred = reasonFor(deferral)
+			x.due, late = queue.late(deferral, left)
 		}
 		if late || request.Force {
 			x.detail = err.Error()
@@ -93,7 +94,7 @@
 	if errors.Is(err, backends.ErrFull) {
 		return w.room
 	}
-	if limited := new(backends.LimitError); errors.As(err, &limited) {
+	if deferral := backends.Deferral(nil); errors.As(err, &deferral) {
 		return max(w.room, w.server)
 	}
 	return w.server
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -85,27 +85,46 @@
 func (d *Dispatcher) choose(service routes.Service, request backends.Request) (backends.Choice, backends.Load, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var choice backends.Choice
-	var err error
-	if service.Engine != nil {
-		choice, err = d.fleet.Path(d.now(), service, request)
-	} else {
-		choice, err = d.fleet.Instance(d.now(), service.Name, request)
-	}
+	choice, err := d.pick(service, request)
 	if err != nil {
 		return choice, backends.Load{}, err
 	}
 	load := choice.Load(request.Prompt + request.Answer)
 	d.fleet.Begin(load)
-	d.fleet.Sent(d.now(), choice.First.ID)
+	d.fleet.Sent(d.now(), choice)
 	return choice, load, nil
 }
 
-// path chooses a path without counting anything on it.
-func (d *Dispatcher) path(service routes.Service, request backends.Request) (backends.Choice, error) {
+// look picks a server or path without counting anything on it.
+func (d *Dispatcher) look(service routes.Service, request backends.Request) (backends.Choice, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.pick(service, request)
+}
+
+// pick must be called with the lock held.
+func (d *Dispatcher) pick(service routes.Service, request backends.Request) (backends.Choice, error) {
+	if service.Engine != nil {
+		return d.fleet.Path(d.now(), service, request)
+	}
+	return d.fleet.Instance(d.now(), service.Name, request)
+}
+
+// wanted tells whether a server still wants a request that was chosen for it.
+func (d *Dispatcher) wanted(id string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.fleet.Paused(d.now(), id)
+}
+
+// took notes that the servers of an attempt run it, if so.
+func (d *Dispatcher) took(o *opened, answer Answer) {
+	if answer.NotRun {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.Path(d.now(), service, request)
+	d.fleet.Took(d.now(), o.begun, o.sent)
 }
 
 // moved takes a request's load over to its new path.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -126,11 +126,12 @@
 	mayHaveRun bool
 	// detail says why no server was found, for the line of the refusal.
 	detail string
-	// limited says that no server was found since those that could take the request are at
-	// their request rates. due is in what time one may take it, 0 where that isn't known.
-	limited bool
-	due     time.Duration
-	timing  timing
+	// deferred is why no server was found where those that could take the request want none
+	// of this VM yet; empty for other causes. due is in what time one may take it, 0 where
+	// that isn't known.
+	deferred Reason
+	due      time.Duration
+	timing   timing
 	// events counts the events delivered; after is the ID of the last one.
 	events int
 	after  string
--- a/internal/relay/limits.go
+++ b/internal/relay/limits.go
@@ -17,17 +17,15 @@
 	out func()
 }
 
-// late tells whether a request that has so long left is refused at once, since those before
-// it take what its VM may send until then. due is in what time it could be sent, 0 where
-// that isn't known.
-func (q *queue) late(limited *backends.LimitError, left time.Duration) (due time.Duration, late bool) {
-	if q.out != nil {
-		due, _ = limited.Due(0)
-		return due, false
+// late tells whether a request that has so long left is refused at once, since servers want
+// none until then, or those before it take what its VM may send. due is in what time it could
+// be sent, 0 where that isn't known.
+func (q *queue) late(deferral backends.Deferral, left time.Duration) (due time.Duration, late bool) {
+	ahead := 0
+	if q.out == nil {
+		ahead, q.out = q.h.Dispatcher.queue(q.service)
 	}
-	var ahead int
-	ahead, q.out = q.h.Dispatcher.queue(q.service)
-	due, known := limited.Due(ahead)
+	due, known := deferral.Due(ahead)
 	return due, known && due > left
 }
 
@@ -56,16 +54,11 @@
 	}
 }
 
-// countSignalled counts an attempt at a server that sets a rate or asked for a pause.
-func (h *Handler) countSignalled(x *exchange, o *opened) {
-	var limited, paused bool
-	h.Dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
-		limited, paused = fleet.Limited(o.sent.First.ID), fleet.Paused(now, o.sent.First.ID)
-	})
+// countLimited counts an attempt at a server that sets a rate.
+func (h *Handler) countLimited(x *exchange, o *opened) {
+	var limited bool
+	h.Dispatcher.Fleet(func(_ time.Duration, fleet *backends.Fleet) { limited = fleet.Limited(o.sent.First.ID) })
 	if limited {
 		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_limited_attempts_total{kind=%q}", x.attemptKind())).Inc()
 	}
-	if paused {
-		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_paused_attempts_total{kind=%q}", x.attemptKind())).Inc()
-	}
 }
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -75,7 +75,7 @@
 	request := w.request
 	request.Avoid = avoid
 	request.Keep, request.Force, request.Version = &current.Path[0], true, current.Version
-	return w.h.Dispatcher.path(w.x.service, request)
+	return w.h.Dispatcher.look(w.x.service, request)
 }
 
 // avoided lists the servers that failed the request or are blamed for its silence. It
@@ -99,7 +99,7 @@
 	first := w.o.choice.First.ID
 	request := w.request
 	request.Avoid = append(w.avoided(), first)
-	_, err := w.h.Dispatcher.path(w.x.service, request)
+	_, err := w.h.Dispatcher.look(w.x.service, request)
 	mayRun := w.h.mayRunAgain(w.x, w.sends) && w.h.mayRunElsewhere(w.x, append(slices.Clone(w.ran), first))
 	if err == nil && mayRun && w.h.Dispatcher.mayRepeat(w.x.service.Name, 1) {
 		w.reserved = true
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -30,6 +30,9 @@
 			return
 		}
 		o.close(h.Dispatcher)
+		if last == unsent {
+			continue
+		}
 		reason, wait = reasonOf(last), waits{}
 		if last != answered && !h.mayRepeat(x, last) {
 			h.refuse(x, x.giveUp(reason))
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -33,6 +33,7 @@
 	ReasonNoServer      Reason = "no_server"
 	ReasonRefused       Reason = "servers_refused"
 	ReasonLimited       Reason = "servers_limited"
+	ReasonPaused        Reason = "servers_paused"
 	ReasonBroken        Reason = "answer_broken"
 	ReasonTimeout       Reason = "timeout"
 	ReasonNoService     Reason = "service_unknown"
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 )
 
@@ -33,7 +34,7 @@
 		return false
 	}
 	if last == notStarted {
-		return x.refusals < refusalsBound && h.mayOffer(x)
+		return x.refusals < refusalsBound && !h.putOff(x) && h.mayOffer(x)
 	}
 	reserved := x.reserved
 	x.reserved = false
@@ -51,9 +52,36 @@
 	if reserved {
 		return true
 	}
+	if h.putOff(x) {
+		return false
+	}
 	return h.Dispatcher.mayRepeat(x.service.Name, x.part(answersPart))
 }
 
+// putOff tells whether all servers that could take the request's next attempt asked for a
+// pause that is longer than it waits. It is refused then, and takes no repeat.
+func (h *Handler) putOff(x *exchange) bool {
+	var wait time.Duration
+	if x.route.Stream {
+		wait = waitsFor(x).room
+	}
+	_, err := h.Dispatcher.look(x.service, h.request(x))
+	paused := new(backends.PauseError)
+	if !errors.As(err, &paused) || paused.Wait <= wait {
+		return false
+	}
+	x.deferred, x.due, x.detail = ReasonPaused, paused.Wait, err.Error()
+	return true
+}
+
+// reasonFor is why a request is refused for which servers want to be waited for.
+func reasonFor(deferral backends.Deferral) Reason {
+	if paused := new(backends.PauseError); errors.As(deferral, &paused) {
+		return ReasonPaused
+	}
+	return ReasonLimited
+}
+
 // part is the part of the budget of repeats that a request may take: all of it once its
 // answer has begun.
 func (x *exchange) part(other float64) float64 {
@@ -121,8 +149,8 @@
 	switch {
 	case x.mayHaveRun:
 		return unknown(reason)
-	case x.limited && !timeout:
-		return notRun(ReasonLimited, max(x.due, comeBack))
+	case x.deferred != "" && !timeout:
+		return notRun(x.deferred, max(x.due, comeBack))
 	default:
 		return notRun(reason, comeBack)
 	}
--- a/internal/relay/room_test.go
+++ b/internal/relay/room_test.go
@@ -72,6 +72,11 @@
 // frontOf is a VM before servers of a service, what decides in it, and what brings its first
 // configuration in force, which has one route.
 func frontOf(t *testing.T, repeats budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (front *httptest.Server, d *relay.Dispatcher, configure func()) {
+	return frontWith(t, platform.Requests{}, repeats, route, service, servers...)
+}
+
+// frontWith is the same with a wire of its own.
+func frontWith(t *testing.T, wire relay.Wire, repeats budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (front *httptest.Server, d *relay.Dispatcher, configure func()) {
 	start := time.Now()
 	d = relay.NewDispatcher(func() time.Duration { return time.Since(start) + time.Second }, budget.New(repeats))
 	table := routes.New(1, routes.Limits{}, []routes.Route{route}, []routes.Service{service}, nil)
@@ -89,7 +94,7 @@
 	d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
 	d.Members("vm-1", []lease.VM{{Name: "vm-1", DataCentre: "a"}})
 	front = httptest.NewServer(relay.New(relay.Options{
-		Log: logr.Discard(), Wire: platform.Requests{}, Engines: &engines{asked: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
+		Log: logr.Discard(), Wire: wire, Engines: &engines{asked: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
 		Proven: func() bool { return true }, Patience: time.Second,
 	}))
 	t.Cleanup(front.Close)
--- a/internal/relay/signals.go
+++ b/internal/relay/signals.go
@@ -50,7 +50,8 @@
 	}
 }
 
-// askedPause takes the pause that a server asked for in its answer.
+// askedPause takes the pause that a server asked for in its answer. It is that of the server
+// that answered, and of the one at fault where it names another.
 func (h *Handler) askedPause(x *exchange, o *opened, answer Answer) {
 	server, pause := o.sent.First.ID, answer.Signals.Pause
 	switch pause {
@@ -60,10 +61,19 @@
 		h.signalLine(telemetry.PauseUnread, x, server)
 		return
 	}
+	blamed, ok := o.sent.At(answer.Blame)
+	if !ok {
+		blamed = server
+	}
 	var news bool
-	h.Dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { news = fleet.Pause(now, server, pause) })
+	h.Dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) {
+		news = fleet.Pause(now, server, pause)
+		if blamed != server {
+			fleet.Pause(now, blamed, pause)
+		}
+	})
 	if news {
-		h.signalLine(telemetry.PauseAsked, x, server, "pauseMs", pause.Milliseconds())
+		h.signalLine(telemetry.PauseAsked, x, server, "blamed", blamed, "pauseMs", pause.Milliseconds())
 	}
 }
 
--- a/internal/relay/signals_test.go
+++ b/internal/relay/signals_test.go
@@ -12,8 +12,11 @@
 
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/relay"
+	"oleandershunt.example/oleandershunt/platform"
 )
 
 // signalServer answers requests at once, and may ask for a pause or say that it leaves.
@@ -82,13 +85,18 @@
 
 // signalFront is a VM before servers of a kind of requests. Streams go to a model's servers.
 func signalFront(t *testing.T, route routes.Route, servers ...*httptest.Server) *httptest.Server {
+	front, _, configure := frontOf(t, budget.Options{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second, VMs: 1}, route, serviceOf(route), servers...)
+	configure()
+	return front
+}
+
+// serviceOf is the service of a route: a model's for streams.
+func serviceOf(route routes.Route) routes.Service {
 	service := routes.Service{Name: "llm"}
 	if route.Stream {
 		service.Engine = smallEngine()
 	}
-	front, _, configure := frontOf(t, budget.Options{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second, VMs: 1}, route, service, servers...)
-	configure()
-	return front
+	return service
 }
 
 // load sends so many requests a second to a VM for a time, and returns their answers.
@@ -170,3 +178,36 @@
 		})
 	}
 }
+
+// lateWire has something happen between the choice of a server and the moment at which the
+// request is written.
+type lateWire struct {
+	platform.Requests
+	between func(attempt relay.Attempt)
+}
+
+func (w lateWire) Write(header http.Header, attempt relay.Attempt) {
+	w.between(attempt)
+	w.Requests.Write(header, attempt)
+}
+
+// Guards against: a request that was chosen before a refusal reaches its server in the pause.
+func TestARequestChosenBeforeAPauseIsNotSentInIt(t *testing.T) {
+	for kind, route := range signalRoutes() {
+		t.Run(kind, func(t *testing.T) {
+			g := NewWithT(t)
+			resting, free := &signalServer{}, &signalServer{}
+			var d *relay.Dispatcher
+			wire := lateWire{between: func(attempt relay.Attempt) {
+				if attempt.Server == "s1" {
+					d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Pause(now, "s1", time.Minute) })
+				}
+			}}
+			front, dispatcher, configure := frontWith(t, wire, budget.Options{Window: 10 * time.Second, VMs: 1}, route, serviceOf(route), resting.start(t), free.start(t))
+			d = dispatcher
+			configure()
+			g.Expect(statuses(load(g, front, 20, 300*time.Millisecond))).To(Equal(map[int]int{http.StatusOK: 6}), "no repeat is taken for it")
+			g.Expect(resting.arrived).To(BeEmpty())
+		})
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,6 +40,9 @@
 		if done {
 			return
 		}
+		if last == unsent {
+			continue
+		}
 		reason = reasonOf(last)
 		if !h.mayRepeat(x, last) {
 			h.abandon(x, started, reason)
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -20,6 +20,7 @@
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
 	PauseAsked          = Event{4217, "backend server wants no requests for a time"}
 	PauseUnread         = Event{4218, "pause that a backend server asks for can't be read"}
+	RelayWithheld       = Event{4220, "attempt withheld: its backend server wants no more requests"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -30,10 +30,15 @@
 type countingConn struct {
 	net.Conn
 	written atomic.Int64
+	// next is the request that is to be written, until its first byte is.
+	next atomic.Pointer[Sent]
 }
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
+	if next := c.next.Swap(nil); next != nil && !next.mayLeave() {
+		return 0, errWithheld
+	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
 	return n, err
@@ -94,20 +99,50 @@
 type Sent struct {
 	conn   atomic.Pointer[countingConn]
 	before atomic.Int64
+	// may tells whether the request is still to be sent; nil for always.
+	may      func() bool
+	withheld atomic.Bool
+	cancel   context.CancelCauseFunc
 }
 
+// errWithheld marks a request that was withheld when its first byte was to be written.
+var errWithheld = errors.New("request was withheld before it was written")
+
 // WatchSent returns a context for one request made through a Transport.
-func WatchSent(ctx context.Context) (context.Context, *Sent) {
-	sent := new(Sent)
-	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.gotConn}), sent
+func WatchSent(ctx context.Context) (context.Context, *Sent) { return new(Sent).watch(ctx) }
+
+// WatchSentWhile is the same for a request that is only to be sent if may says so at the
+// moment at which it is written, which a connect delays. A withheld request ends with an error.
+func WatchSentWhile(ctx context.Context, may func() bool) (context.Context, *Sent) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	return (&Sent{may: may, cancel: cancel}).watch(ctx)
+}
+
+func (s *Sent) watch(ctx context.Context) (context.Context, *Sent) {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn}), s
 }
 
+// mayLeave is asked before the first byte. The context ends with a refusal, or net/http would
+// try the next kept connection.
+func (s *Sent) mayLeave() bool {
+	if s.may == nil || s.may() {
+		return true
+	}
+	s.withheld.Store(true)
+	s.cancel(errWithheld)
+	return false
+}
+
+// Withheld tells whether the request was withheld; no byte of it has left then.
+func (s *Sent) Withheld() bool { return s.withheld.Load() }
+
 func (s *Sent) gotConn(info httptrace.GotConnInfo) {
 	conn, ok := info.Conn.(*countingConn)
 	if !ok {
 		return
 	}
 	s.before.Store(conn.written.Load())
+	conn.next.Store(s)
 	s.conn.Store(conn)
 }
 
