Send nothing to a backend server whose answers say that it leaves

What callers saw: requests to a server that ends while they run.

Cause: Server-Leaving of an answer was read nowhere.

The word is taken from any answer, whatever became of its request, and stands for that process: an entry that says ready, whenever it was written, or that comes with a copy of the store doesn't end it. Other VMs are told as they are of a departure. A request that was chosen before is looked at once more when it is written.

--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -74,6 +74,17 @@
 	f.leaves(now, gone)
 }
 
+// SaysLeaving takes a server's own word that it leaves. Its process never comes back from
+// that, whatever an entry says. It returns whether that is news.
+func (f *Fleet) SaysLeaving(now time.Duration, id string) bool {
+	left, known := f.left[id]
+	f.leaves(now, Departure{ID: id})
+	if k, ok := f.servers[id]; ok {
+		k.Draining = true
+	}
+	return !known || left.revision > 0
+}
+
 // leaves notes that a server leaves or has left. That it drains stays true.
 func (f *Fleet) leaves(now time.Duration, gone Departure) {
 	known, ok := f.left[gone.ID]
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -114,7 +114,8 @@
 func (d *Dispatcher) wanted(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return !d.fleet.Paused(d.now(), id)
+	server, ok := d.fleet.Known(id)
+	return ok && !server.Draining && !d.fleet.Paused(d.now(), id)
 }
 
 // took notes that the servers of an attempt run it, if so.
--- a/internal/relay/signals.go
+++ b/internal/relay/signals.go
@@ -79,8 +79,12 @@
 
 // saidLeaving takes a server's word that it leaves.
 func (h *Handler) saidLeaving(x *exchange, o *opened, answer Answer) {
-	server := o.sent.First.ID
-	if answer.Signals.Leaving && !h.Dispatcher.leaving(server) {
+	if !answer.Signals.Leaving {
+		return
+	}
+	server, news := o.sent.First.ID, false
+	h.Dispatcher.Fleet(func(now time.Duration, fleet *backends.Fleet) { news = fleet.SaysLeaving(now, server) })
+	if news {
 		h.signalLine(telemetry.LeavingSaid, x, server)
 	}
 }
--- a/internal/relay/signals_test.go
+++ b/internal/relay/signals_test.go
@@ -191,23 +191,29 @@
 	w.Requests.Write(header, attempt)
 }
 
-// Guards against: a request that was chosen before a refusal reaches its server in the pause.
-func TestARequestChosenBeforeAPauseIsNotSentInIt(t *testing.T) {
-	for kind, route := range signalRoutes() {
-		t.Run(kind, func(t *testing.T) {
-			g := NewWithT(t)
-			resting, free := &signalServer{}, &signalServer{}
-			var d *relay.Dispatcher
-			wire := lateWire{between: func(attempt relay.Attempt) {
-				if attempt.Server == "s1" {
-					d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Pause(now, "s1", time.Minute) })
-				}
-			}}
-			front, dispatcher, configure := frontWith(t, wire, budget.Options{Window: 10 * time.Second, VMs: 1}, route, serviceOf(route), resting.start(t), free.start(t))
-			d = dispatcher
-			configure()
-			g.Expect(statuses(load(g, front, 20, 300*time.Millisecond))).To(Equal(map[int]int{http.StatusOK: 6}), "no repeat is taken for it")
-			g.Expect(resting.arrived).To(BeEmpty())
-		})
+// Guards against: a request reaches a server that asked for a pause, or said that it leaves, since it was chosen.
+func TestARequestIsNotSentToAServerThatWantsNoneAnyMore(t *testing.T) {
+	words := map[string]func(now time.Duration, fleet *backends.Fleet){
+		"pause":   func(now time.Duration, fleet *backends.Fleet) { fleet.Pause(now, "s1", time.Minute) },
+		"leaving": func(now time.Duration, fleet *backends.Fleet) { fleet.SaysLeaving(now, "s1") },
+	}
+	for word, said := range words {
+		for kind, route := range signalRoutes() {
+			t.Run(word+" "+kind, func(t *testing.T) {
+				g := NewWithT(t)
+				unwilling, free := &signalServer{}, &signalServer{}
+				var d *relay.Dispatcher
+				wire := lateWire{between: func(attempt relay.Attempt) {
+					if attempt.Server == "s1" {
+						d.Fleet(said)
+					}
+				}}
+				front, dispatcher, configure := frontWith(t, wire, budget.Options{Window: 10 * time.Second, VMs: 1}, route, serviceOf(route), unwilling.start(t), free.start(t))
+				d = dispatcher
+				configure()
+				g.Expect(statuses(load(g, front, 20, 300*time.Millisecond))).To(Equal(map[int]int{http.StatusOK: 6}), "no repeat is taken for it")
+				g.Expect(unwilling.arrived).To(BeEmpty())
+			})
+		}
 	}
 }
