Tell other VMs of a server that asks for a pause as of a full one

The pause is of one VM: told for as long as it lasts, it takes the server from all others. So it is told as any full server, which few VMs don't heed and a request's last offer overrides.

--- a/internal/core/backends/crowd_test.go
+++ b/internal/core/backends/crowd_test.go
@@ -39,6 +39,11 @@
 	// refuses has full servers refuse requests, and refused counts these by server.
 	refuses bool
 	refused map[string]int
+	// pausing are first servers that refuse requests and ask for a pause of so long: of one VM
+	// where pausingOf is set, else of all. taken counts the requests by first server.
+	pausing   map[string]time.Duration
+	pausingOf *backends.Fleet
+	taken     map[string]int
 	// truth is what runs on each server, in tokens times layers.
 	truth map[string]float64
 	room  float64
@@ -48,7 +53,7 @@
 }
 
 func newCrowd(g *WithT, vms int, pace time.Duration) *crowd {
-	c := &crowd{g: g, pace: pace, truth: make(map[string]float64), ends: make(map[time.Duration][]func()), told: make([]map[string]backends.Usage, vms), toldFull: make([]map[string]time.Duration, vms), refused: make(map[string]int)}
+	c := &crowd{g: g, pace: pace, truth: make(map[string]float64), ends: make(map[time.Duration][]func()), told: make([]map[string]backends.Usage, vms), toldFull: make([]map[string]time.Duration, vms), refused: make(map[string]int), taken: make(map[string]int)}
 	for range vms {
 		f := backends.New()
 		for lane := range 8 {
@@ -136,8 +141,14 @@
 	return sum
 }
 
-// refusedBy has the first full server of a choice refuse the request.
+// refusedBy has the first full server of a choice refuse the request, or its first server that
+// asks for a pause.
 func (c *crowd) refusedBy(now time.Duration, f *backends.Fleet, load backends.Load) bool {
+	if pause, ok := c.pausing[load.First]; ok && (c.pausingOf == nil || c.pausingOf == f) {
+		c.refused[load.First]++
+		f.Pause(now, load.First, pause)
+		return true
+	}
 	for _, part := range load.Parts {
 		if c.truth[part.ID]+part.Memory > c.room {
 			c.refused[part.ID]++
@@ -168,6 +179,7 @@
 	}
 	if now >= settled {
 		c.begun++
+		c.taken[load.First]++
 		if full {
 			c.over++
 		}
@@ -268,3 +280,33 @@
 		g.Expect(path(g, f, request())).To(Equal(expected), "%d VMs", vms)
 	}
 }
+
+// Guards against: each of many VMs is refused by a server that turns all of them away.
+func TestVMsThatTellOfPausesAreRefusedLess(t *testing.T) {
+	g := NewWithT(t)
+	const pausing = "s00"
+	refusedBy := func(toldOf bool) int {
+		c := newCrowd(g, 300, 250*time.Millisecond)
+		c.refuses, c.toldOf = true, toldOf
+		c.pausing = map[string]time.Duration{pausing: 3 * time.Second}
+		c.play(300, 12*time.Second)
+		return c.refused[pausing]
+	}
+	alone, told := refusedBy(false), refusedBy(true)
+	t.Logf("refused by a server that asks for pauses: %d alone, %d where they are told", alone, told)
+	g.Expect(float64(told)).To(BeNumerically("<", 0.6*float64(alone)))
+}
+
+// Guards against: a server that turns one VM away for long is left alone by all others, too.
+func TestAPauseOfOneVMLeavesItsServerToTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	const pausing = "s00"
+	for _, vms := range []int{9, 68, 300} {
+		c := newCrowd(g, vms, 250*time.Millisecond)
+		c.refuses, c.toldOf, c.pausingOf = true, true, c.fleets[0]
+		c.pausing = map[string]time.Duration{pausing: 30 * time.Second}
+		c.play(300, 12*time.Second)
+		t.Logf("%d VMs: %d requests taken by a server that asked one VM for a pause, of %d", vms, c.taken[pausing], c.begun)
+		g.Expect(c.taken[pausing]).To(BeNumerically(">", c.begun/8), "its part of what eight servers begin, or more, %d VMs", vms)
+	}
+}
--- a/internal/core/backends/pauses.go
+++ b/internal/core/backends/pauses.go
@@ -35,8 +35,13 @@
 func (e *PauseError) Due(int) (time.Duration, bool) { return e.Wait, true }
 
 // Pause takes a server's word that it wants no requests of this VM for a span. It returns
-// whether that is news.
+// whether that is news. Other VMs are told that it is full, and no longer than of any full
+// server: the pause was asked of this VM only.
 func (f *Fleet) Pause(now time.Duration, id string, span time.Duration) bool {
+	if k, ok := f.servers[id]; ok {
+		k.fullSpan = min(span, fullMost)
+		k.fullUntil = max(k.fullUntil, now+k.fullSpan)
+	}
 	return f.pauses.Ask(now, id, span)
 }
 
