Take what backend servers ask for from answers to reports and orders, too

A server says that it leaves in all its answers; of those to reports and orders nothing was read. What an answer asks for is returned with each call, also where that failed, and taken at the same place as that of requests. Only a whole answer to a request ends a request rate, as before. A server in its pause isn't asked for its pace either; orders of layers and questions about requests that run on it go on, since the pause is one from requests. (TestWhatAServerAsksForInAnswersToOrdersIsTaken, TestWhatServersAskForIsReadFromAllAnswers)

--- a/internal/core/backends/seen.go
+++ b/internal/core/backends/seen.go
@@ -71,11 +71,12 @@
 	return max(k.pace, 1)
 }
 
-// Slow lists the servers that were slow when last asked, longer ago than age.
+// Slow lists the servers that were slow when last asked, longer ago than age, those that asked
+// for a pause left out.
 func (f *Fleet) Slow(now, age time.Duration) []Server {
 	var slow []Server
 	for _, k := range f.servers {
-		if k.paceAt(now) >= slowFrom && now > k.pacedAt+age {
+		if k.paceAt(now) >= slowFrom && now > k.pacedAt+age && !f.pauses.Active(now, k.ID) {
 			slow = append(slow, k.Server)
 		}
 	}
--- a/internal/core/backpressure/signals.go
+++ b/internal/core/backpressure/signals.go
@@ -3,12 +3,18 @@
 // called at the same time.
 package backpressure
 
-import "time"
+import (
+	"time"
 
-// Signals are what the head of a server's answer asks of the VM that it goes to.
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
+)
+
+// Signals are what the head of a server's answer asks of the VM that it goes to. The zero value
+// asks for nothing.
 type Signals struct {
-	// PerSecond is the requests a second that the server takes from all VMs together:
-	// ratelimit.Unlimited where it sets no rate, NaN where that can't be read.
+	// Limited says that the server sets a request rate, and PerSecond the requests a second
+	// that it takes from all VMs together: NaN where that can't be read.
+	Limited   bool
 	PerSecond float64
 	// Pause is for how long the server wants no requests of this VM: 0 where it asks for no
 	// pause, Unread where that can't be read.
@@ -19,3 +25,12 @@
 
 // Unread is a pause that can't be read.
 const Unread time.Duration = -1
+
+// Rate is the requests a second that the server takes: ratelimit.Unlimited where it sets no rate,
+// NaN where that can't be read.
+func (s Signals) Rate() float64 {
+	if !s.Limited {
+		return ratelimit.Unlimited
+	}
+	return s.PerSecond
+}
--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -74,6 +74,7 @@
 	parts      Parts
 	log        logr.Logger
 	dispatcher *relay.Dispatcher
+	signals    *relay.Signals
 	role       *role.Role
 	holding    bool
 	stopping   func() bool
@@ -120,7 +121,7 @@
 func newPlacer(p Parts, d *relay.Dispatcher, stopping func() bool) *placer {
 	self := lease.VM{Name: p.Settings.VM, DataCentre: p.Settings.DataCentre, Incarnation: uuid.NewString(), Cores: p.Settings.Cores}
 	return &placer{
-		parts: p, log: p.Log, dispatcher: d, stopping: stopping,
+		parts: p, log: p.Log, dispatcher: d, signals: relay.NewSignals(p.Log, d), stopping: stopping,
 		candidates: func() []lease.VM { return []lease.VM{self} },
 		role: role.New(role.Options{
 			Store: p.Store, Kind: kindRole, Name: "layers-" + p.Settings.DataCentre, Self: self,
@@ -383,6 +384,7 @@
 
 func (p *placer) give(ctx context.Context, server backends.Server, order spread.Order) error {
 	report, err := p.parts.Engines.Report(ctx, server.Address)
+	p.signals.Take(relay.Said{Server: server.ID, Signals: report.Signals})
 	if err != nil {
 		return err
 	}
@@ -392,5 +394,7 @@
 	if report.Started != server.Started && report.Started > 0 && server.Started > 0 {
 		return errRestarted
 	}
-	return p.parts.Engines.Place(ctx, server.Address, server.Name, relay.Order{Orders: report.Orders, Layers: order.Layers})
+	asked, err := p.parts.Engines.Place(ctx, server.Address, server.Name, relay.Order{Orders: report.Orders, Layers: order.Layers})
+	p.signals.Take(relay.Said{Server: server.ID, Signals: asked})
+	return err
 }
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -5,11 +5,13 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -22,16 +24,38 @@
 	report relay.Report
 	fails  error
 	placed []string
+	// asked is what the answers to its orders ask for.
+	asked backpressure.Signals
 }
 
 func (b *orderBook) Report(context.Context, string) (relay.Report, error) { return b.report, b.fails }
 
-func (b *orderBook) Place(_ context.Context, _, server string, _ relay.Order) error {
+func (b *orderBook) Place(_ context.Context, _, server string, _ relay.Order) (backpressure.Signals, error) {
 	b.placed = append(b.placed, server)
-	return nil
+	return b.asked, nil
 }
 
-func (b *orderBook) Repath(context.Context, string, string, string, chain.Path) error { return nil }
+func (b *orderBook) Repath(context.Context, string, string, string, chain.Path) (backpressure.Signals, error) {
+	return backpressure.Signals{}, nil
+}
+
+// Guards against: what a server asks for in its answer to a report or an order is not taken.
+func TestWhatAServerAsksForInAnswersToOrdersIsTaken(t *testing.T) {
+	leaves := backpressure.Signals{Leaving: true}
+	for name, book := range map[string]*orderBook{
+		"report": {report: relay.Report{Signals: leaves}}, "failed report": {report: relay.Report{Signals: leaves}, fails: errBusy}, "order": {asked: leaves},
+	} {
+		g := NewWithT(t)
+		d := relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{Window: 10 * time.Second}))
+		s1 := backends.Server{ID: "s1", Name: "s1", Service: "llm", Address: "s1:1", DataCentre: "a"}
+		var left []backends.Server
+		d.Fleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Put(now, s1) })
+		p := &placer{parts: Parts{Engines: book}, signals: relay.NewSignals(logr.Discard(), d)}
+		_ = p.give(context.Background(), s1, spread.Order{Server: "s1", Layers: api.Layers{From: 0, To: 9}})
+		d.Fleet(func(_ time.Duration, fleet *backends.Fleet) { left = fleet.Servers("llm") })
+		g.Expect(left).To(BeEmpty(), name)
+	}
+}
 
 // Symptom: a server gives up layers that it has just loaded. Sequence: it starts again
 // under its name between a look at its entry and the order; both lives have taken no
@@ -39,7 +63,8 @@
 func TestAnOrderForAServersFormerLifeIsNotGiven(t *testing.T) {
 	g := NewWithT(t)
 	book := &orderBook{report: relay.Report{Started: 2}}
-	p := &placer{parts: Parts{Engines: book}}
+	d := relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{Window: 10 * time.Second}))
+	p := &placer{parts: Parts{Engines: book}, signals: relay.NewSignals(logr.Discard(), d)}
 	order := spread.Order{Server: "s1@1", Layers: api.Layers{From: 0, To: 9}}
 	g.Expect(p.give(context.Background(), backends.Server{ID: "s1@1", Name: "s1", Started: 1}, order)).To(MatchError(errRestarted))
 	g.Expect(book.placed).To(BeEmpty())
--- a/internal/edge/rig_test.go
+++ b/internal/edge/rig_test.go
@@ -21,6 +21,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -238,9 +239,13 @@
 
 func (noEngines) Report(context.Context, string) (relay.Report, error) { return relay.Report{}, nil }
 
-func (noEngines) Place(context.Context, string, string, relay.Order) error { return nil }
+func (noEngines) Place(context.Context, string, string, relay.Order) (backpressure.Signals, error) {
+	return backpressure.Signals{}, nil
+}
 
-func (noEngines) Repath(context.Context, string, string, string, chain.Path) error { return nil }
+func (noEngines) Repath(context.Context, string, string, string, chain.Path) (backpressure.Signals, error) {
+	return backpressure.Signals{}, nil
+}
 
 // rig is one VM with its store and servers.
 type rig struct {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -107,7 +107,7 @@
 	}
 	o.response = response
 	answer := h.Wire.Answer(response)
-	h.signalled(x, o, answer)
+	h.signals.Take(said(x, o, answer))
 	h.Dispatcher.took(o, answer)
 	if answer.NotRun {
 		o.settle()
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -235,11 +235,12 @@
 	}
 }
 
-// paceKnown tells whether a server's pace was learnt a moment ago.
-func (d *Dispatcher) paceKnown(id string) bool {
+// paceDue tells whether a server may be asked for its pace: it was learnt some time ago, and the
+// server wants requests.
+func (d *Dispatcher) paceDue(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.PaceAge(d.now(), id) < paceAge
+	return d.fleet.PaceAge(d.now(), id) >= paceAge && !d.fleet.Paused(d.now(), id)
 }
 
 // slowest is the pace of the slowest server of a path, as far as it is known; 1 for
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -75,8 +75,7 @@
 	suspects      *suspects
 	// lateLines bounds the lines on late answers.
 	lateLines *rate.Limiter
-	// signalLines bounds the lines on what servers ask for.
-	signalLines *rate.Limiter
+	signals   *Signals
 }
 
 // New makes a handler.
@@ -90,8 +89,7 @@
 		suspects:  newSuspects(),
 		watches:   watches{all: make(map[*watchdog]struct{})},
 		lateLines: rate.NewLimiter(latePerSecond, lateBurst),
-
-		signalLines: rate.NewLimiter(signalsPerSecond, signalsBurst),
+		signals:   NewSignals(options.Log, options.Dispatcher),
 	}
 }
 
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
@@ -26,7 +27,9 @@
 	if err == nil {
 		ctx, cancel := context.WithTimeout(w.o.ctx, moveTimeout)
 		defer cancel()
-		err = w.h.Engines.Repath(ctx, choice.First.Address, choice.First.Name, w.x.call.ID, choice.Path)
+		var asked backpressure.Signals
+		asked, err = w.h.Engines.Repath(ctx, choice.First.Address, choice.First.Name, w.x.call.ID, choice.Path)
+		w.h.signals.Take(Said{Server: choice.First.ID, Request: w.x.call.ID, Signals: asked})
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/reports.go
+++ b/internal/relay/reports.go
@@ -91,7 +91,7 @@
 // are late without any refusal. Only its report tells.
 func (h *Handler) learnPaces(path chain.Path) {
 	for _, part := range path {
-		if h.Dispatcher.paceKnown(part.ID) || !h.reports.paces.Allow() {
+		if !h.Dispatcher.paceDue(part.ID) || !h.reports.paces.Allow() {
 			continue
 		}
 		go h.learnPace(part.ID, part.Address)
@@ -100,6 +100,7 @@
 
 func (h *Handler) learnPace(id, address string) {
 	report, err := h.reports.get(context.Background(), address, paceAge)
+	h.signals.Take(Said{Server: id, Signals: report.Signals})
 	if err != nil {
 		// What doesn't answer is found by the streams that stall on it.
 		return
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -163,6 +163,7 @@
 	first, path := w.o.choice.First, w.o.choice.Path
 	w.mu.Unlock()
 	report, err := w.h.reports.get(w.o.ctx, first.Address, stallAge)
+	w.h.signals.Take(Said{Server: first.ID, Request: w.x.call.ID, Signals: report.Signals})
 	if w.o.ctx.Err() != nil {
 		return
 	}
--- a/internal/relay/watch_test.go
+++ b/internal/relay/watch_test.go
@@ -18,6 +18,7 @@
 
 	"oleandershunt.example/oleandershunt/api"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/backpressure"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -60,19 +61,21 @@
 	return sum
 }
 
-func (e *engines) Place(context.Context, string, string, relay.Order) error { return nil }
+func (e *engines) Place(context.Context, string, string, relay.Order) (backpressure.Signals, error) {
+	return backpressure.Signals{}, nil
+}
 
-func (e *engines) Repath(_ context.Context, _, _, _ string, path chain.Path) error {
+func (e *engines) Repath(_ context.Context, _, _, _ string, path chain.Path) (backpressure.Signals, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.refuse {
-		return errors.New("no room")
+		return backpressure.Signals{}, errors.New("no room")
 	}
 	select {
 	case e.moved <- path:
 	default:
 	}
-	return nil
+	return backpressure.Signals{}, nil
 }
 
 // rig is a handler before two servers that hold the first layers, and two places
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -86,6 +86,8 @@
 	Queued int
 	// Pace is how many times as long as usual the server takes. 0 when it doesn't say.
 	Pace float64
+	// Signals are what the server asks of this VM, also where the report can't be had.
+	Signals backpressure.Signals
 }
 
 // Order tells a model server which layers to hold.
@@ -95,12 +97,13 @@
 	Layers api.Layers
 }
 
-// Engines talks to model servers beside the requests.
+// Engines talks to model servers beside the requests. What a server asks of this VM is returned
+// with an error, too.
 type Engines interface {
 	Report(ctx context.Context, address string) (Report, error)
 	// Place gives an order. A nil error means that it is carried out, or was.
-	Place(ctx context.Context, address, server string, order Order) error
+	Place(ctx context.Context, address, server string, order Order) (backpressure.Signals, error)
 	// Repath moves a running request to another path that begins with the same
 	// part. The new parts read what the request has so far; the others keep it.
-	Repath(ctx context.Context, address, server, request string, path chain.Path) error
+	Repath(ctx context.Context, address, server, request string, path chain.Path) (backpressure.Signals, error)
 }
