--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -69,6 +70,9 @@
 // layers that it doesn't have, or gives up the last copy that it just loaded.
 var errRestarted = eris.New("server started again: decide again by its new entry")
 
+// errHeld marks an order for what its server holds already, though its entry doesn't say so yet.
+var errHeld = eris.New("server holds the layers already: wait for its entry")
+
 // placer orders the layers of its data centre's servers while it holds the role.
 type placer struct {
 	parts      Parts
@@ -370,6 +374,9 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		err := p.give(ctx, server, order)
+		if errors.Is(err, errHeld) {
+			return
+		}
 		if err != nil {
 			telemetry.LayersRefused.Fail(p.log, err, "server", order.Server, "layers", order.Layers.String())
 			select {
@@ -394,6 +401,9 @@
 	if report.Started != server.Started && report.Started > 0 && server.Started > 0 {
 		return errRestarted
 	}
+	if report.Layers == order.Layers {
+		return errHeld
+	}
 	asked, err := p.parts.Engines.Place(ctx, server.Address, server.Name, relay.Order{Orders: report.Orders, Layers: order.Layers})
 	p.signals.Take(relay.Said{Server: server.ID, Signals: asked})
 	return err
--- a/internal/edge/placer_test.go
+++ b/internal/edge/placer_test.go
@@ -57,6 +57,24 @@
 	}
 }
 
+// Guards against: a server gets an order, which costs, for what it holds already.
+func TestAnOrderForWhatAServerHoldsIsNotGiven(t *testing.T) {
+	layers := api.Layers{From: 0, To: 9}
+	for _, busy := range []bool{false, true} {
+		g := NewWithT(t)
+		book := &orderBook{report: relay.Report{Layers: layers, Busy: busy}}
+		d := relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{Window: 10 * time.Second}))
+		p := &placer{parts: Parts{Engines: book}, signals: relay.NewSignals(logr.Discard(), d)}
+		want := errHeld
+		if busy {
+			want = errBusy // with an order for something else
+		}
+		g.Expect(p.give(context.Background(), backends.Server{ID: "s1"}, spread.Order{Server: "s1", Layers: layers})).To(MatchError(want))
+		g.Expect(book.placed).To(BeEmpty())
+		g.Expect(p.give(context.Background(), backends.Server{ID: "s1"}, spread.Order{Server: "s1", Layers: api.Layers{From: 9, To: 12}}) == nil).To(Equal(!busy))
+	}
+}
+
 // Symptom: a server gives up layers that it has just loaded. Sequence: it starts again
 // under its name between a look at its entry and the order; both lives have taken no
 // order. Cause: the order's condition fits the new life, too.
