Keep a small bound of repeats where VMs ask again and again

Cause: where less than one repeat is left for each VM, chance decides; a request that waits for a repeat asks each 50 ms, and each look was another draw, so every VM won in the end, before any had heard of the others.

A draw holds now for the time that a sum takes, and two standard deviations of what chance may give out are kept back.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -3,7 +3,10 @@
 // does no I/O and reads no clock.
 package budget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Options are the bound, for all VMs together.
 type Options struct {
@@ -36,6 +39,8 @@
 	// toldWithin is how long what a VM does takes to be in all others' sums: to the hub of
 	// its data centre, from there to another hub, and to that one's VMs, 0.25 s each.
 	toldWithin = 750 * time.Millisecond
+	// lotDeviations is how many standard deviations of what chance may give out are kept back.
+	lotDeviations = 2
 )
 
 // Count is what a VM did in the last window.
@@ -68,6 +73,11 @@
 type window struct {
 	requests, repeats [buckets]int
 	at                int64
+	// draw is this VM's lot for what is left where that is less than one repeat for each VM,
+	// and drawnAt when it was drawn.
+	draw    float64
+	drawnAt time.Duration
+	drawn   bool
 }
 
 // New makes a budget.
@@ -142,8 +152,12 @@
 		done := b.others.counts[service]
 		bound := b.options.Ratio*float64(own.Requests+done.Requests) + b.options.Slack*group/max(group, float64(b.vms(now)))
 		left := part*togetherPart*bound - float64(own.Repeats+done.Repeats)
-		// Where there is less than one repeat for each VM, chance decides which ones take it.
-		allowed = allowed || float64(b.recent(now, service))+b.options.Random() < left/group
+		if left < group {
+			// There is less than one repeat for each VM: chance decides which ones take it, and how
+			// many they are.
+			left -= lotDeviations * math.Sqrt(max(left, 0))
+		}
+		allowed = allowed || float64(b.recent(now, service))+b.lot(now, service) < left/group
 	} else {
 		allowed = allowed || next <= part*apartPart*share
 	}
@@ -154,6 +168,16 @@
 	return allowed
 }
 
+// lot is a random number that holds for the time that a sum takes. A VM that drew one for each
+// look would win in the end, as would all others, before any of them hears of the rest.
+func (b *Budget) lot(now time.Duration, service string) float64 {
+	w := b.window(now, service)
+	if !w.drawn || now-w.drawnAt >= toldWithin {
+		w.draw, w.drawnAt, w.drawn = b.options.Random(), now, true
+	}
+	return w.draw
+}
+
 func (b *Budget) bound(requests int) float64 {
 	return b.options.Ratio*float64(requests) + b.options.Slack
 }
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -246,3 +246,46 @@
 	}
 	g.Expect(float64(repeats)).To(BeNumerically("<=", ratio*requests+slack))
 }
+
+// Guards against: chance gives out more repeats than are left, or hardly any.
+func TestChanceKeepsASmallBound(t *testing.T) {
+	const seeds = 12
+	for _, c := range []struct {
+		vms, requests int
+		slack, ratio  float64
+	}{{9, 100, 10, 0.1}, {24, 120, 5, 0.02}, {68, 120, 5, 0.02}, {195, 500, 20, 0.02}, {300, 300, 10, 0.02}} {
+		g := NewWithT(t)
+		bound, sum := c.ratio*float64(c.requests)+c.slack, 0
+		for seed := range uint64(seeds) {
+			repeats := repeatsByChance(c.vms, c.requests, budget.Options{
+				Ratio: c.ratio, Slack: c.slack, Window: 10 * time.Second, VMs: 12, Random: rand.New(rand.NewPCG(seed, 1)).Float64,
+			})
+			g.Expect(float64(repeats)).To(BeNumerically("<=", bound), "%d VMs, seed %d", c.vms, seed)
+			sum += repeats
+		}
+		t.Logf("%d VMs: %.1f repeats on average, %.1f allowed", c.vms, float64(sum)/seeds, bound)
+		g.Expect(float64(sum)/seeds).To(BeNumerically(">", bound/3), "%d VMs", c.vms)
+	}
+}
+
+// repeatsByChance is how many repeats VMs make that all ask for them each 50 ms for 4 s.
+func repeatsByChance(vms, requests int, options budget.Options) (repeats int) {
+	fleet := &fleet{groups: 1}
+	for range vms {
+		fleet.vms = append(fleet.vms, budget.New(options))
+	}
+	for i := range requests {
+		fleet.vms[i%vms].Request(time.Second, "s")
+	}
+	for now := time.Second; now < 5*time.Second; now += 50 * time.Millisecond {
+		if now == time.Second || now%(750*time.Millisecond) == 0 {
+			fleet.talk(now)
+		}
+		for _, vm := range fleet.vms {
+			if vm.Repeat(now, "s", 1) {
+				repeats++
+			}
+		}
+	}
+	return repeats
+}
