Count a leaving server that answered among those that ran a request

What callers saw: nothing; a request that may run on two servers ran on four, when each said beside its failure that it leaves (BUDGET, maxAttempts). Cause: a leaving server counted as gone, so it didn't count among those that ran the request. It is still there. Only one that broke the request off while leaving has ended, or whose entry is gone.

A plain request whose answer is there takes no repeat for a server that can't be had, either: its failure was thrown away then, and the caller was told that the answer was broken.

TestALeavingServerThatAnsweredCountsAsOneThatRanTheRequest: 4 servers before, 2 now.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -189,7 +189,7 @@
 func (x *exchange) failed(choice backends.Choice) {
 	x.mayHaveRun = true
 	x.avoid = append(x.avoid, choice.First.ID)
-	if !slices.Contains(x.ran, choice.First.ID) {
+	if !slices.Contains(x.ran, choice.First.ID) && !slices.Contains(x.ended, choice.First.ID) {
 		x.ran = append(x.ran, choice.First.ID)
 	}
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -277,10 +277,10 @@
 	return ok && server.Draining
 }
 
-// gone tells whether a server's entry is not there any more, or leaving.
+// gone tells whether a server's entry is not there any more.
 func (d *Dispatcher) gone(id string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	server, ok := d.fleet.Known(id)
-	return !ok || server.Draining
+	_, ok := d.fleet.Known(id)
+	return !ok
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -111,8 +111,9 @@
 	start  time.Time
 	// avoid lists the servers that failed the request.
 	avoid []string
-	// ran lists the servers that ran it or may have, those lost since left out.
-	ran []string
+	// ran lists the servers that ran it or may have, but for those in ended: servers that broke
+	// it off while they left.
+	ran, ended []string
 	// only, when set, lists the servers that the next attempt may take.
 	only []string
 	// sends counts the attempts that reached a server, and refusals those that it
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -216,7 +216,11 @@
 // brokeOff notes an attempt whose connection broke after it was sent. One that the
 // caller, the time limit or the server's planned stop ended says nothing about it.
 func (h *Handler) brokeOff(x *exchange, o *opened, err error) {
-	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) || h.Dispatcher.leaving(o.choice.First.ID) {
+	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) {
+		return
+	}
+	if h.Dispatcher.leaving(o.choice.First.ID) {
+		x.ended = append(x.ended, o.choice.First.ID)
 		return
 	}
 	h.suspects.lost(x.poison, o.choice.First, o.begun, x.events)
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -52,7 +52,7 @@
 	if reserved {
 		return true
 	}
-	if h.putOff(x) {
+	if h.putOff(x) || !x.route.Stream && h.noServer(x) {
 		return false
 	}
 	return h.Dispatcher.mayRepeat(x.service.Name, x.part(answersPart))
@@ -74,6 +74,13 @@
 	return true
 }
 
+// noServer tells whether no server can take the request's next attempt now. A plain request
+// doesn't wait for one then, and its answer may be there already.
+func (h *Handler) noServer(x *exchange) bool {
+	_, err := h.Dispatcher.look(x.service, h.request(x))
+	return err != nil
+}
+
 // reasonFor is why a request is refused for which servers want to be waited for.
 func reasonFor(deferral backends.Deferral) Reason {
 	if paused := new(backends.PauseError); errors.As(deferral, &paused) {
--- a/internal/relay/signals_test.go
+++ b/internal/relay/signals_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -217,3 +218,26 @@
 		}
 	}
 }
+
+// Guards against: a request runs on more servers than its route allows, since one of them says that it leaves.
+func TestALeavingServerThatAnsweredCountsAsOneThatRanTheRequest(t *testing.T) {
+	g := NewWithT(t)
+	route := signalRoutes()["safe"]
+	route.Attempts = 2
+	var servers []*httptest.Server
+	var ran atomic.Int32
+	for range 4 {
+		var once sync.Once
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+			once.Do(func() { ran.Add(1) })
+			w.Header().Set("X-Request-Id", request.Header.Get("X-Request-Id"))
+			w.Header().Set("X-Response-Seal", "seal")
+			w.Header().Set("Server-Leaving", "1")
+			w.WriteHeader(http.StatusInternalServerError)
+		}))
+		t.Cleanup(server.Close)
+		servers = append(servers, server)
+	}
+	g.Expect(ask(g, signalFront(t, route, servers...), "r1")).To(Equal(http.StatusInternalServerError))
+	g.Expect(ran.Load()).To(BeEquivalentTo(2))
+}
