Have the soak's servers ask for pauses and say that they leave

Two kinds of faults with a plan of their own, so that those of seeds stay what they were, two checks from what servers and callers see, each with its cases, and two planted defects. A planted defect named a file that its line had left. An attempt that is withheld counts as an offer, of which a request has four, so that it can't go on for ever.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -127,6 +127,9 @@
 	x.sends--
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_withheld_total{kind=%q}", x.attemptKind())).Inc()
 	telemetry.RelayWithheld.Log(h.Log, append(x.fields(), "server", o.sent.First.ID)...)
+	if x.refusals++; x.refusals >= refusalsBound {
+		return notStarted
+	}
 	return unsent
 }
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -126,6 +126,8 @@
 	found = append(found, f.checkArrivals(sent)...)
 	found = append(found, f.checkRepeats()...)
 	found = append(found, f.checkLeaving(sent)...)
+	found = append(found, f.checkPauses(sent)...)
+	found = append(found, f.checkSaidLeaving(sent)...)
 	found = append(found, f.checkVersions()...)
 	for _, rate := range f.rates {
 		found = append(found, f.checkRate(rate, sent)...)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -39,6 +39,20 @@
 	}
 }
 
+// refused has a server refuse a VM's request and ask for a pause.
+func refused(f *facts, vm string, when float64, pause time.Duration) {
+	r, a := asked("refused-"+vm, standin.OnceRoute, when, when+0.01), ran("refused-"+vm, "s1", standin.OnceRoute, when, when)
+	r.vm, r.status, a.Ran, a.Pause = vm, 503, false, pause
+	f.requests, f.arrivals = append(f.requests, r), append(f.arrivals, a)
+}
+
+// saidLeaving has a server say in an answer to a VM that it leaves.
+func saidLeaving(f *facts, vm string, when float64) {
+	r, a := asked("said-"+vm, standin.OnceRoute, when, when+0.01), ran("said-"+vm, "s1", standin.OnceRoute, when, when+0.01)
+	r.vm, a.Leaving = vm, true
+	f.requests, f.arrivals = append(f.requests, r), append(f.arrivals, a)
+}
+
 func nothing() *facts {
 	return &facts{bounds: bounds, vms: map[string]*spans{}, servers: map[string]*spans{}, stops: map[string]*spans{}}
 }
@@ -178,6 +192,32 @@
 			sendMany(f, "vm-2", 40, 5, 5.7)
 			sendMany(f, "vm-3", 40, 5.2, 7.9)
 		}},
+		"requests in a pause that their VM was asked for": {set: func(f *facts) {
+			refused(f, "vm-1", 1, 2*time.Second)
+			sendMany(f, "vm-1", 3, 2, 2.9)
+		}, found: []string{"server in its pause"}},
+		"requests just after a refusal, after its pause, of another VM, or of one that was killed": {set: func(f *facts) {
+			for _, vm := range []string{"vm-1", "vm-2"} {
+				refused(f, vm, 1, 2*time.Second)
+			}
+			f.vms["vm-2"] = &spans{{from: at(1.5), to: at(1.6)}}
+			sendMany(f, "vm-1", 9, 1.1, 1.7)
+			sendMany(f, "vm-2", 9, 2, 2.9)
+			sendMany(f, "vm-3", 9, 3.1, 4)
+		}},
+		"a request to a server that had said that it leaves, with the store away": {set: func(f *facts) {
+			f.store = spans{{from: at(0), to: at(9)}}
+			saidLeaving(f, "vm-1", 1)
+			sendMany(f, "vm-1", 1, 1.1+bounds.DrainWithin.Seconds()+1, 9)
+		}, found: []string{"server that said that it leaves"}},
+		"requests within the bound, of a VM that wasn't told, or of one that was stopped": {set: func(f *facts) {
+			saidLeaving(f, "vm-1", 1)
+			saidLeaving(f, "vm-2", 1)
+			f.stops["vm-2"] = &spans{{from: at(2), to: at(2.1)}}
+			sendMany(f, "vm-1", 4, 1.1, 1+bounds.DrainWithin.Seconds())
+			sendMany(f, "vm-2", 4, 8, 9)
+			sendMany(f, "vm-3", 4, 8, 9)
+		}},
 		"fewer served after than before": {set: func(f *facts) {
 			f.before, f.after = 1, 0.5
 		}, found: []string{"not recovered"}},
@@ -203,5 +243,5 @@
 			kinds[fault.Kind] = true
 		}
 	}
-	g.Expect(kinds).To(HaveLen(len(planned) + len(sudden) + len(rare)))
+	g.Expect(kinds).To(HaveLen(len(planned) + len(sudden) + len(rare) + len(asking)))
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -25,6 +25,11 @@
 	case ServerRate:
 		w.setRate(f)
 		return nil
+	case ServerPause:
+		w.pause(f)
+		return nil
+	case ServerSays:
+		return w.sayLeaving(f)
 	case StoreDown, StoreSlow, StoreFull, StoreLoses, StoreForget:
 		w.causeAtStore(f)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,10 @@
 	// since the copy is written again. ServerRate: a server sets a request rate.
 	StoreCopy  Kind = "store_copy"
 	ServerRate Kind = "server_rate"
+	// ServerPause: a server refuses all requests and asks for pauses. ServerSays: a server's
+	// answers say that it leaves, seconds before its entry does.
+	ServerPause Kind = "server_pause"
+	ServerSays  Kind = "server_says"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -54,8 +58,12 @@
 	ServerCrash, ServerSilent, ServerResets, ServerDelay,
 }
 
-// rare have a plan of their own, since each lasts for seconds.
-var rare = []Kind{StoreCopy, ServerRate}
+// rare have a plan of their own, since each lasts for seconds, and asking another, so that the
+// plans of seeds stay what they were.
+var (
+	rare   = []Kind{StoreCopy, ServerRate}
+	asking = []Kind{ServerPause, ServerSays}
+)
 
 // Fault is one fault of a plan.
 type Fault struct {
@@ -106,21 +114,22 @@
 		})
 	}
 	if !calm {
-		plan = append(plan, rarePlan(seed, within)...)
+		plan = append(plan, rarePlan(rare, seed, 1, within)...)
+		plan = append(plan, rarePlan(asking, seed, 2, within)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
-// rarePlan is the rare faults of a seed.
-func rarePlan(seed uint64, within time.Duration) []Fault {
-	random := rand.New(rand.NewPCG(seed, 1))
+// rarePlan is the rare faults of some kinds of a seed. Each stream of it is a plan of its own.
+func rarePlan(kinds []Kind, seed, stream uint64, within time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, stream))
 	var plan []Fault
 	for at := time.Duration(0); ; {
 		at += time.Duration(random.ExpFloat64() * float64(rareGap))
 		if at >= within {
 			return plan
 		}
-		plan = append(plan, Fault{At: at, For: shortest + time.Duration(random.Int64N(int64(longest-shortest))), Kind: rare[random.IntN(len(rare))], Target: random.IntN(1 << 16)})
+		plan = append(plan, Fault{At: at, For: shortest + time.Duration(random.Int64N(int64(longest-shortest))), Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1 << 16)})
 	}
 }
--- a/internal/soak/planted_test.go
+++ b/internal/soak/planted_test.go
@@ -28,7 +28,7 @@
 		Old: "			x.after = events.last\n", Bad: "			x.after = \"\"\n",
 	}, "wrong answer"},
 	{testutil.Defect{
-		Name: "repeated without proof", File: "internal/relay/attempt.go",
+		Name: "repeated without proof", File: "internal/relay/repeat.go",
 		Old: "if x.route.Repeat == routes.Once || !h.mayRunAgain", Bad: "if !h.mayRunAgain",
 	}, "ran twice"},
 	{testutil.Defect{
@@ -52,6 +52,14 @@
 		Name: "request rates of servers left out", File: "internal/core/ratelimit/shares.go",
 		Old: "	return known.bucket != nil && known.bucket.TokensAt(moment(now)) >= 1", Bad: "	return true",
 	}, "server beyond its rate"},
+	{testutil.Defect{
+		Name: "pauses of servers left out", File: "platform/requests.go",
+		Old: "		signals.Pause = pauseOf(", Bad: "		_ = pauseOf(",
+	}, "server in its pause"},
+	{testutil.Defect{
+		Name: "servers' word that they leave left out", File: "platform/requests.go",
+		Old: "Leaving: strings.TrimSpace(response.Header.Get(headerLeaving)) == leaving", Bad: "Leaving: response.Header.Get(headerLeaving) == leaving+leaving",
+	}, "server that said that it leaves"},
 	{testutil.Defect{
 		Name: "request offered to a leaving server", File: "platform/servers.go",
 		Old: "Draining: file.State == stateDraining", Bad: "Draining: false",
