Look at all servers of a path once more when a request is written

The last look before the first byte was at the server that it is sent to only; a path goes on to others, which may have left or asked for a pause since it was chosen.

--- a/internal/core/backends/pauses.go
+++ b/internal/core/backends/pauses.go
@@ -48,6 +48,17 @@
 // Paused tells whether a server wants no requests of this VM now.
 func (f *Fleet) Paused(now time.Duration, id string) bool { return f.pauses.Active(now, id) }
 
+// Wanted tells whether the servers of a choice still want a request: none has left since, or
+// asked for a pause.
+func (f *Fleet) Wanted(now time.Duration, choice Choice) bool {
+	for id := range choice.servers() {
+		if k, ok := f.servers[id]; !ok || k.Draining || f.pauses.Active(now, id) {
+			return false
+		}
+	}
+	return true
+}
+
 // Took says that the servers of a choice run a request that was sent to them at a moment.
 func (f *Fleet) Took(now, sent time.Duration, choice Choice) {
 	for id := range choice.servers() {
--- a/internal/core/backends/pauses_test.go
+++ b/internal/core/backends/pauses_test.go
@@ -123,3 +123,22 @@
 	_, err = f.Instance(1030*time.Millisecond, "app", request())
 	g.Expect(err).NotTo(HaveOccurred())
 }
+
+// Guards against: a path is taken of which a server left, or asked for a pause, since it was chosen.
+func TestAChoiceIsWantedWhileAllItsServersWantRequests(t *testing.T) {
+	for name, change := range map[string]func(f *backends.Fleet, id string){
+		"pause":   func(f *backends.Fleet, id string) { f.Pause(0, id, time.Second) },
+		"leaving": func(f *backends.Fleet, id string) { f.SaysLeaving(0, id) },
+		"gone":    func(f *backends.Fleet, id string) { f.Remove(10*time.Second, id, 9) },
+	} {
+		for _, id := range []string{"s1", "s2"} {
+			g := NewWithT(t)
+			f := twoLanes()
+			choice, err := f.Path(0, service(), request())
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(f.Wanted(0, choice)).To(BeTrue())
+			change(f, id)
+			g.Expect(f.Wanted(0, choice)).To(BeFalse(), "%s of %s", name, id)
+		}
+	}
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -86,7 +86,7 @@
 
 // send makes the attempt and reads the head of its answer.
 func (h *Handler) send(x *exchange, o *opened) fate {
-	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.wanted(o.sent.First.ID) })
+	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.wanted(o.sent) })
 	request := h.outgoing(ctx, x, o.sent)
 	transport := h.pooled
 	if x.route.Repeat == routes.Once {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -110,12 +110,11 @@
 	return d.fleet.Instance(d.now(), service.Name, request)
 }
 
-// wanted tells whether a server still wants a request that was chosen for it.
-func (d *Dispatcher) wanted(id string) bool {
+// wanted tells whether the servers of a choice still want a request.
+func (d *Dispatcher) wanted(choice backends.Choice) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	server, ok := d.fleet.Known(id)
-	return ok && !server.Draining && !d.fleet.Paused(d.now(), id)
+	return d.fleet.Wanted(d.now(), choice)
 }
 
 // took notes that the servers of an attempt run it, if so.
