--- a/internal/relay/decisions_test.go
+++ b/internal/relay/decisions_test.go
@@ -20,20 +20,23 @@
 
 const module = "oleandershunt.example/oleandershunt/"
 
-// decodedTypes are what servers say, by package, after it was translated.
+// decodedTypes are what servers, the operator and the settings say, by package, after it was
+// translated.
 var decodedTypes = map[string][]string{
 	"internal/relay":             {"Answer", "Report"},
 	"internal/core/backpressure": {"Signals"},
 	"internal/core/backends":     {"Server", "Held"},
+	"internal/core/routes":       {"Route", "Share", "Service", "Account", "Limits", "Engine", "Card"},
+	"internal/edge":              {"Settings"},
 }
 
 // decidingPackages are those that decide what is done about it.
 var decidingPackages = []string{
-	"internal/relay", "internal/edge", "internal/core/backpressure", "internal/core/backends", "internal/core/spread",
+	"internal/relay", "internal/edge", "internal/core/backpressure", "internal/core/backends", "internal/core/spread", "internal/core/routes",
 }
 
-// Guards against: a word of a server is read and nothing is done about it.
-func TestEachWordOfAServerHasADecision(t *testing.T) {
+// Guards against: a word of the platform is decoded and nothing is done about it.
+func TestEachDecodedWordHasADecision(t *testing.T) {
 	g := NewWithT(t)
 	source := newSource(t)
 	declared, read := make(map[string]string), make(map[string]bool)
