--- a/internal/core/backends/pauses_test.go
+++ b/internal/core/backends/pauses_test.go
@@ -124,7 +124,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
-// Guards against: a path is taken of which a server left, or asked for a pause, since it was chosen.
+// Guards against: a path is taken of which a server left, or asked for a pause, just before.
 func TestAChoiceIsWantedWhileAllItsServersWantRequests(t *testing.T) {
 	for name, change := range map[string]func(f *backends.Fleet, id string){
 		"pause":   func(f *backends.Fleet, id string) { f.Pause(0, id, time.Second) },
--- a/internal/relay/signals_test.go
+++ b/internal/relay/signals_test.go
@@ -192,7 +192,7 @@
 	w.Requests.Write(header, attempt)
 }
 
-// Guards against: a request reaches a server that asked for a pause, or said that it leaves, since it was chosen.
+// Guards against: a request reaches a server that asked for a pause, or said that it leaves, before it was written.
 func TestARequestIsNotSentToAServerThatWantsNoneAnyMore(t *testing.T) {
 	words := map[string]func(now time.Duration, fleet *backends.Fleet){
 		"pause":   func(now time.Duration, fleet *backends.Fleet) { fleet.Pause(now, "s1", time.Minute) },
