--- a/internal/core/backends/bench_test.go
+++ b/internal/core/backends/bench_test.go
@@ -1,8 +1,10 @@
 package backends_test
 
 import (
+	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 )
@@ -70,3 +72,22 @@
 // BenchmarkUnlikePath is the choice of one request's path over servers with ranges of unlike
 // lengths.
 func BenchmarkUnlikePath(b *testing.B) { benchmarkPath(b, unlikeFleet, 33, 106, 195, 770) }
+
+// BenchmarkPausedPath is a request for which all servers asked for a pause, each for another time.
+func BenchmarkPausedPath(b *testing.B) {
+	for _, n := range []int{33, 195, 770} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := backends.New()
+			servers := unlikeFleet(n)
+			f.Replace(0, servers, 1)
+			for i, s := range servers {
+				f.Pause(0, s.ID, time.Second+time.Duration(i)*time.Millisecond)
+			}
+			for b.Loop() {
+				if _, err := f.Path(0, service(), request()); !errors.As(err, new(*backends.PauseError)) {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
