Decide an order again that its server's report makes needless

An order for layers that the server reports to hold was left pending for 3 s and more. Its report is some hundred ms old: where the server had just taken another order, nothing would have been decided until then. It counts as not carried out now, as one for a busy server, and is decided anew after 0.4 s.

--- a/internal/edge/placer.go
+++ b/internal/edge/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -70,8 +69,9 @@
 // layers that it doesn't have, or gives up the last copy that it just loaded.
 var errRestarted = eris.New("server started again: decide again by its new entry")
 
-// errHeld marks an order for what its server holds already, though its entry doesn't say so yet.
-var errHeld = eris.New("server holds the layers already: wait for its entry")
+// errHeld marks an order for what its server holds already by its report, which may be older than
+// an order that it has just taken.
+var errHeld = eris.New("server holds the layers already: decide again when its entry shows them")
 
 // placer orders the layers of its data centre's servers while it holds the role.
 type placer struct {
@@ -374,9 +374,6 @@
 		ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 		defer cancel()
 		err := p.give(ctx, server, order)
-		if errors.Is(err, errHeld) {
-			return
-		}
 		if err != nil {
 			telemetry.LayersRefused.Fail(p.log, err, "server", order.Server, "layers", order.Layers.String())
 			select {
