--- /dev/null
+++ b/internal/mirror/assignment_test.go
@@ -0,0 +1,79 @@
+package mirror
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/lease"
+)
+
+// dataCentre returns the VMs of a data centre in the order in which they become readers.
+func dataCentre(large, small int) []lease.VM {
+	var vms []lease.VM
+	for i := range large + small {
+		vm := lease.VM{Name: fmt.Sprint("vm-", i), DataCentre: "a", Cores: 0.192}
+		if i < large {
+			vm.Cores = 1.6
+		}
+		vms = append(vms, vm)
+	}
+	return lease.Rank("entries", "", vms)
+}
+
+func assignmentOf(self string, vms []lease.VM, firstStart bool) assignment {
+	list := func() []lease.VM { return vms }
+	remote := []lease.VM{{Name: "far-1", DataCentre: "b", Cores: 8}, {Name: "far-2", DataCentre: "c", Cores: 8}}
+	return NewFollower(nil, Options{
+		Self: self, MembershipSettled: func() bool { return true }, FirstStart: firstStart,
+		AllVMs: func() []lease.VM { return append(remote, vms...) }, LocalVMs: list,
+	}).assignment()
+}
+
+// Guards against two VMs that serve their whole data centre: with 200 VMs each would send
+// and compress the list of all servers a hundred times within a second.
+func TestServingIsSharedInALargeDataCentre(t *testing.T) {
+	for _, size := range []struct{ large, small, limit int }{{10, 197, fetchersPerSource}, {20, 394, fetchersPerSource}, {0, 207, fetchersPerSource}, {1, 39, 20}, {2, 5, 4}} {
+		t.Run(fmt.Sprintf("large=%d/small=%d", size.large, size.small), func(t *testing.T) {
+			g := NewWithT(t)
+			vms := dataCentre(size.large, size.small)
+			fetchers := make(map[string]int)
+			for _, vm := range vms {
+				a := assignmentOf(vm.Name, vms, false)
+				g.Expect(a.reads).To(BeFalse())
+				g.Expect(len(a.sources)).To(BeNumerically("<=", 2*ReaderCount+backupReaders))
+				g.Expect(a.sources).NotTo(ContainElement(vm.Name))
+				fetchers[a.sources[0]]++
+			}
+			for source, count := range fetchers {
+				if source != "far-1" && source != "far-2" {
+					// Names spread by their hashes, which differ from an even spread.
+					g.Expect(count).To(BeNumerically("<=", 2*size.limit), source)
+				}
+			}
+		})
+	}
+}
+
+// Guards against all VMs of a data centre that read the whole list at once when their
+// sources are lost: 200 lists of 900 kB take the platform's link two seconds.
+func TestFallbackReadsAreSpread(t *testing.T) {
+	g := NewWithT(t)
+	vms := dataCentre(10, 197)
+	reads := make(map[int]int)
+	for _, vm := range vms {
+		now := time.Minute
+		f := NewFollower(nil, Options{Self: vm.Name, Now: func() time.Duration { return now }})
+		spacing := time.Duration(lease.Position(vms, vm.Name)) * fallbackSpacing
+		for ; now < time.Minute+10*time.Second; now += 100 * time.Millisecond {
+			if f.mayReadDirectly(spacing) {
+				reads[int((now-time.Minute)/time.Second)]++
+			}
+		}
+	}
+	for second, count := range reads {
+		g.Expect(count).To(BeNumerically("<=", 110), "second %d", second)
+	}
+}
