Do periodic work only about what changed

Cause: four exchanges of sums, five looks at the placement role, two long polls and three reports a second each listed and ranked all VMs of the deployment, and fourteen times a second a VM went through all servers although nearly all were idle and healthy.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -126,6 +126,7 @@
 	requestCount uint64
 	// unreachableUntil is until when a data centre counts as unreachable.
 	unreachableUntil map[string]time.Duration
+	subsets          subsets
 }
 
 // New returns an empty fleet.
@@ -136,6 +137,7 @@
 		departed:          make(map[string]departureRecord),
 		remoteUsage:       make(map[string]Usage),
 		unreachableUntil:  make(map[string]time.Duration),
+		subsets:           newSubsets(),
 		rateLimits:        ratelimit.New(),
 		pauses:            backpressure.NewPauses(),
 		heartbeatInterval: defaultHeartbeatInterval,
@@ -174,9 +176,11 @@
 // PublishUsage returns what this VM's requests use, by server, to be published to the other VMs.
 func (f *Fleet) PublishUsage() map[string]Usage {
 	loads := make(map[string]Usage)
-	for id, s := range f.servers {
+	for id, s := range f.subsets.used {
 		s.publishedUsage = s.localUsage
-		if s.localUsage.Memory > 0 || s.localUsage.Running > 0 {
+		if s.localUsage == (Usage{}) {
+			delete(f.subsets.used, id)
+		} else {
 			loads[id] = s.localUsage
 		}
 	}
@@ -225,6 +229,7 @@
 			f.index.remove(s)
 		}
 		s.Server, s.missingRevision = server, 0
+		delete(f.subsets.missing, s.ID)
 		if reindex {
 			f.index.add(s)
 		}
@@ -274,6 +279,7 @@
 func (f *Fleet) deleteServer(id string) {
 	if s, ok := f.servers[id]; ok {
 		f.index.remove(s)
+		f.subsets.remove(id)
 		delete(f.servers, id)
 		f.rateLimits.Forget(id)
 	}
@@ -294,11 +300,25 @@
 	}
 }
 
+// HasPending reports whether RemoveExpired may soon remove servers whose entries are missing, or
+// reinstate servers after a restore.
+func (f *Fleet) HasPending() bool {
+	if len(f.subsets.missing) > 0 {
+		return true
+	}
+	for _, departure := range f.departed {
+		if departure.beforeRestore {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveExpired deletes the servers whose missing entries didn't come back in time, and forgets departures
 // after departureTTL.
 func (f *Fleet) RemoveExpired(now time.Duration) {
-	for id, s := range f.servers {
-		if s.missingRevision > 0 && !f.platformDown && now >= f.platformUpAt+ExpiryGrace {
+	for id, s := range f.subsets.missing {
+		if !f.platformDown && now >= f.platformUpAt+ExpiryGrace {
 			f.dropServer(now, Departure{ID: id, Revision: s.missingRevision})
 		}
 	}
@@ -340,6 +360,7 @@
 		s.fullBackoff = min(2*s.fullBackoff, maxFullBackoff)
 	}
 	s.fullUntil = now + s.fullBackoff
+	f.subsets.full[id] = s
 }
 
 // minRemoteFull is the minimum time that a server counts as full after other VMs reported it. It is
@@ -357,9 +378,11 @@
 // requests, with their backoff, to be published to the other VMs.
 func (f *Fleet) FullServers(now time.Duration) map[string]time.Duration {
 	full := make(map[string]time.Duration)
-	for id, s := range f.servers {
+	for id, s := range f.subsets.full {
 		if now < s.fullUntil {
 			full[id] = s.fullBackoff
+		} else {
+			delete(f.subsets.full, id)
 		}
 	}
 	return full
@@ -466,10 +489,12 @@
 	// from before still end.
 	if s, ok := f.servers[load.First]; ok {
 		s.localUsage.Running = max(s.localUsage.Running+sign, 0)
+		f.subsets.used[s.ID] = s
 	}
 	for _, part := range load.Parts {
 		if s, ok := f.servers[part.ID]; ok {
 			s.localUsage.Memory = max(s.localUsage.Memory+float64(sign)*part.Memory, 0)
+			f.subsets.used[s.ID] = s
 		}
 	}
 }
--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -64,6 +64,7 @@
 	s := f.servers[id]
 	if f.platformDown || (f.platformUpAt > 0 && now < f.platformUpAt+ExpiryGrace) {
 		s.missingRevision = revision
+		f.subsets.missing[id] = s
 		return
 	}
 	f.dropServer(now, Departure{ID: id, Revision: revision})
--- a/internal/core/backends/health.go
+++ b/internal/core/backends/health.go
@@ -43,6 +43,10 @@
 	if s, ok := f.servers[id]; ok {
 		s.sharePace = pace >= minSlowPace || s.pace >= minSlowPace
 		s.pace, s.paceUpdatedAt, s.paceReportedAt = pace, now, now
+		if s.sharePace {
+			f.subsets.paced[id] = s
+		}
+		f.noteSlow(s)
 	}
 }
 
@@ -50,6 +54,13 @@
 func (f *Fleet) SetRemotePace(now time.Duration, id string, pace float64) {
 	if s, ok := f.servers[id]; ok {
 		s.pace, s.paceUpdatedAt = pace, now
+		f.noteSlow(s)
+	}
+}
+
+func (f *Fleet) noteSlow(s *serverState) {
+	if s.pace >= minSlowPace {
+		f.subsets.slow[s.ID] = s
 	}
 }
 
@@ -74,8 +85,11 @@
 // those that asked for a pause.
 func (f *Fleet) SlowServers(now, age time.Duration) []Server {
 	var slow []Server
-	for _, s := range f.servers {
-		if s.currentPace(now) >= minSlowPace && now > s.paceUpdatedAt+age && !f.pauses.Active(now, s.ID) {
+	for id, s := range f.subsets.slow {
+		switch {
+		case s.currentPace(now) < minSlowPace:
+			delete(f.subsets.slow, id)
+		case now > s.paceUpdatedAt+age && !f.pauses.Active(now, id):
 			slow = append(slow, s.Server)
 		}
 	}
@@ -87,9 +101,11 @@
 // that circulates would keep a server slow for ever.
 func (f *Fleet) PacesToPublish(now, span time.Duration) map[string]float64 {
 	paces := make(map[string]float64)
-	for id, s := range f.servers {
+	for id, s := range f.subsets.paced {
 		if s.sharePace && now < s.paceReportedAt+span {
 			paces[id] = s.pace
+		} else {
+			delete(f.subsets.paced, id)
 		}
 	}
 	return paces
--- a/internal/core/backends/pauses.go
+++ b/internal/core/backends/pauses.go
@@ -41,6 +41,7 @@
 	if s, ok := f.servers[id]; ok {
 		s.fullBackoff = min(span, maxFullBackoff)
 		s.fullUntil = max(s.fullUntil, now+s.fullBackoff)
+		f.subsets.full[id] = s
 	}
 	return f.pauses.RequestPause(now, id, span)
 }
--- a/internal/role/role.go
+++ b/internal/role/role.go
@@ -111,6 +111,10 @@
 // Held reports whether this VM holds the role now.
 func (r *Role) Held() bool { return r.LeaseState().Held }
 
+// NextStep returns the time before which Step has nothing to do. It must be called by the
+// goroutine that calls Step.
+func (r *Role) NextStep() time.Duration { return r.nextStep }
+
 // Step renews the lease, or acquires it when it is free and this VM is next in rank.
 // It returns at once when nothing is due. vms are the VMs that may hold the role.
 func (r *Role) Step(ctx context.Context, vms []lease.VM) {
