Keep running sums of the servers' loads and send what changed

Cause: the hub of a data centre added up all VMs' reports anew for each VM, four times a second, and sent each the loads of all servers: the square of the VMs times the servers.

Change: a report changes running sums by what differs from the VM's last one; servers are ordered by the last change of their load, and a VM gets those that changed since what it has, its own included, which it takes off itself. Loads of servers in other data centres come each second, and small changes of them are left out. VMs and hubs of the build before are answered with sums as before.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -157,6 +157,22 @@
 	f.remoteUsage, f.remoteVMs = loads, vms
 }
 
+// UpdateRemoteUsage sets the usage of those servers where it changed, and the number of VMs that
+// the usage of all servers includes.
+func (f *Fleet) UpdateRemoteUsage(changes map[string]Usage, vms int) {
+	if f.remoteUsage == nil {
+		f.remoteUsage = make(map[string]Usage, len(changes))
+	}
+	for id, usage := range changes {
+		if usage == (Usage{}) {
+			delete(f.remoteUsage, id)
+		} else {
+			f.remoteUsage[id] = usage
+		}
+	}
+	f.remoteVMs = vms
+}
+
 // SetLiveVMs sets the number of live VMs, this one included.
 func (f *Fleet) SetLiveVMs(vms int) { f.liveVMs = vms }
 
--- /dev/null
+++ b/internal/core/tally/hub.go
@@ -0,0 +1,261 @@
+package tally
+
+import (
+	"maps"
+	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
+)
+
+// Parameters of a hub.
+const (
+	// ReportTTL is how long the loads of a report count after it was received: three reporting
+	// intervals. The requests of a VM that has gone have ended.
+	ReportTTL = 750 * time.Millisecond
+	// CountsTTL is how long the retries of a report count: they were made within the window of
+	// the retry budget, whatever became of the VM.
+	CountsTTL = 10 * time.Second
+)
+
+// Hub aggregates the reports of its data centre's VMs and the sums of other data centres.
+//
+// It keeps running sums: a report costs what it changes, and an answer what changed since the last
+// one. Adding up all reports for each answer costs the square of the number of VMs: with 207 VMs
+// and 3,000 servers two processor cores and 690 Mbit/s.
+type Hub struct {
+	dataCentre  string
+	vms, remote map[string]report
+	// local are the sums of this data centre's VMs, all those of all data centres.
+	local, all sums
+	// log orders the servers by the last change of their sum over all data centres.
+	log loadLog
+	// full and rates are what VMs and data centres report of single servers.
+	full  fullServers
+	rates map[string]map[string]ratelimit.Report
+	// nextExpiry is the earliest time at which a part of a report may expire.
+	nextExpiry time.Duration
+}
+
+// report is a received tally and the time at which it was received. Once its loads have expired
+// only its counts are left.
+type report struct {
+	at          time.Duration
+	tally       Tally
+	loadsExpire bool
+}
+
+// expiry returns the time after which the next part of a report expires.
+func (r report) expiry() time.Duration {
+	if r.loadsExpire {
+		return r.at + ReportTTL
+	}
+	return r.at + CountsTTL
+}
+
+// NewHub returns the hub of a data centre, without any reports. The epoch tells it from other hubs.
+// isLocal reports whether a server is in the data centre of the hub.
+func NewHub(dataCentre string, epoch uint64, isLocal func(server string) bool) *Hub {
+	return &Hub{
+		dataCentre: dataCentre, vms: make(map[string]report), remote: make(map[string]report),
+		local: newSums(), all: newSums(), log: newLoadLog(epoch, isLocal),
+		full: make(fullServers), rates: make(map[string]map[string]ratelimit.Report),
+	}
+}
+
+// Report records a VM's own tally.
+func (h *Hub) Report(now time.Duration, vm string, tally Tally) {
+	h.expire(now)
+	h.put(now, h.vms, vm, tally, &h.local)
+}
+
+// ReportRemote records the sum of another data centre.
+func (h *Hub) ReportRemote(now time.Duration, dataCentre string, tally Tally) {
+	h.expire(now)
+	if dataCentre != h.dataCentre {
+		h.put(now, h.remote, dataCentre, tally, nil)
+	}
+}
+
+// put replaces the report of a VM or data centre in the sum of all, and in another one if there is
+// one.
+func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, also *sums) {
+	before := reports[from].tally
+	tally.Loads = quantize(tally.Loads)
+	reports[from] = report{at: now, tally: tally, loadsExpire: true}
+	h.replace(now, reporter{from, also != nil}, before, tally, also)
+	h.nextExpiry = min(h.nextExpiry, now+ReportTTL)
+}
+
+// reporter is a VM or a data centre.
+type reporter struct {
+	name string
+	isVM bool
+}
+
+func (r reporter) key() string {
+	if r.isVM {
+		return "vm/" + r.name
+	}
+	return "data-centre/" + r.name
+}
+
+func (h *Hub) replace(now time.Duration, from reporter, before, after Tally, also *sums) {
+	changed := h.all.replace(before, after)
+	if also != nil {
+		also.replace(before, after)
+	}
+	for _, id := range changed {
+		h.log.record(now, id, h.all.loads[id])
+	}
+	key := from.key()
+	for id := range before.Full {
+		if _, still := after.Full[id]; !still {
+			h.full.remove(key, id)
+		}
+	}
+	for id, span := range after.Full {
+		h.full.put(key, id, span)
+	}
+	for id := range before.Rates {
+		delete(h.rates[id], key)
+		if len(h.rates[id]) == 0 {
+			delete(h.rates, id)
+		}
+	}
+	for id, rate := range after.Rates {
+		if h.rates[id] == nil {
+			h.rates[id] = make(map[string]ratelimit.Report)
+		}
+		h.rates[id][key] = rate
+	}
+}
+
+// expire removes what no longer counts.
+func (h *Hub) expire(now time.Duration) {
+	if now <= h.nextExpiry {
+		return
+	}
+	h.nextExpiry = now + ReportTTL
+	h.expireReports(now, h.vms, &h.local)
+	h.expireReports(now, h.remote, nil)
+}
+
+func (h *Hub) expireReports(now time.Duration, reports map[string]report, also *sums) {
+	for from, r := range reports {
+		if now > r.expiry() {
+			left := Tally{}
+			if r.loadsExpire && now <= r.at+CountsTTL {
+				left.Counts = r.tally.Counts
+				reports[from] = report{at: r.at, tally: left}
+			} else {
+				delete(reports, from)
+			}
+			h.replace(now, reporter{from, also != nil}, r.tally, left, also)
+		}
+		if r, ok := reports[from]; ok {
+			h.nextExpiry = min(h.nextExpiry, r.expiry())
+		}
+	}
+}
+
+// LocalSum returns the sum of this data centre's VMs.
+func (h *Hub) LocalSum(now time.Duration) Tally {
+	h.expire(now)
+	sum := Tally{
+		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: maps.Clone(h.local.counts),
+		Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report),
+	}
+	for _, r := range h.vms {
+		for id, span := range r.tally.Full {
+			sum.Full[id] = max(sum.Full[id], span)
+		}
+		for id, rate := range r.tally.Rates {
+			mergeRate(sum.Rates, id, rate)
+		}
+	}
+	return sum
+}
+
+// SumExcept returns the sum of all VMs except the given one.
+func (h *Hub) SumExcept(now time.Duration, vm string) Tally {
+	sum := h.withoutLoads(now, vm)
+	sum.Loads = maps.Clone(h.all.loads)
+	for id, load := range h.vms[vm].tally.Loads {
+		if rest := subtract(sum.Loads[id], load); rest != (backends.Usage{}) {
+			sum.Loads[id] = rest
+		} else {
+			delete(sum.Loads, id)
+		}
+	}
+	return sum
+}
+
+// withoutLoads returns the sum of all VMs except the given one, without the loads.
+func (h *Hub) withoutLoads(now time.Duration, vm string) Tally {
+	h.expire(now)
+	own := h.vms[vm].tally
+	sum := Tally{
+		VMs: h.all.vms - own.VMs, Counts: make(map[string]budget.Count),
+		Full: h.full.except(reporter{vm, true}.key()), Rates: make(map[string]ratelimit.Report),
+	}
+	for service, count := range h.all.counts {
+		rest := budget.Count{Requests: count.Requests - own.Counts[service].Requests, Retries: count.Retries - own.Counts[service].Retries}
+		if rest != (budget.Count{}) {
+			sum.Counts[service] = rest
+		}
+	}
+	// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
+	for id, reports := range h.rates {
+		for _, rate := range reports {
+			mergeRate(sum.Rates, id, rate)
+		}
+	}
+	return sum
+}
+
+func mergeRate(rates map[string]ratelimit.Report, id string, rate ratelimit.Report) {
+	if known, ok := rates[id]; !ok || rate.ObservedAt > known.ObservedAt {
+		rates[id] = rate
+	}
+}
+
+// Known is what a VM has of a hub's loads.
+type Known struct {
+	// Epoch is the hub's, and 0 for nothing.
+	Epoch uint64
+	// Local and Elsewhere are the versions of the loads of servers in the hub's data centre and of
+	// the others.
+	Local, Elsewhere uint64
+}
+
+// ServerLoad is the usage of a server.
+type ServerLoad struct {
+	ID    string
+	Usage backends.Usage
+}
+
+// Update is a hub's answer to a VM.
+type Update struct {
+	// Others is the sum of all other VMs without their loads.
+	Others Tally
+	// Loads are the loads of all VMs, including the one that the answer is for. Unless Complete is
+	// set they are only those that changed since the versions that the VM has. Those of servers
+	// elsewhere are approximate.
+	Loads    []ServerLoad
+	Complete bool
+	// Elsewhere is set if the loads include those of servers in other data centres.
+	Elsewhere bool
+	// Known is what the VM has after the update.
+	Known Known
+}
+
+// Update returns what changed for a VM since its last update. elsewhere includes the servers of other
+// data centres.
+func (h *Hub) Update(now time.Duration, vm string, known Known, elsewhere bool) Update {
+	update := Update{Others: h.withoutLoads(now, vm)}
+	update.Loads, update.Complete, update.Known = h.log.since(known, elsewhere)
+	update.Elsewhere = elsewhere || update.Complete
+	return update
+}
--- /dev/null
+++ b/internal/core/tally/sums.go
@@ -0,0 +1,123 @@
+package tally
+
+import (
+	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/budget"
+)
+
+// sums are running sums of reports.
+type sums struct {
+	vms    int
+	loads  map[string]backends.Usage
+	counts map[string]budget.Count
+}
+
+func newSums() sums {
+	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]budget.Count)}
+}
+
+// replace takes a report off the sums and adds another one. It returns the servers whose sum
+// changed.
+func (s *sums) replace(before, after Tally) (changed []string) {
+	s.vms += after.VMs - before.VMs
+	for id, load := range before.Loads {
+		if next := after.Loads[id]; next != load {
+			s.addLoad(id, subtract(next, load))
+			changed = append(changed, id)
+		}
+	}
+	for id, load := range after.Loads {
+		if _, had := before.Loads[id]; !had {
+			s.addLoad(id, load)
+			changed = append(changed, id)
+		}
+	}
+	for service, count := range before.Counts {
+		s.addCount(service, -count.Requests, -count.Retries)
+	}
+	for service, count := range after.Counts {
+		s.addCount(service, count.Requests, count.Retries)
+	}
+	return changed
+}
+
+func (s *sums) addLoad(id string, load backends.Usage) {
+	if sum := s.loads[id].Add(load); sum != (backends.Usage{}) {
+		s.loads[id] = sum
+	} else {
+		delete(s.loads, id)
+	}
+}
+
+func (s *sums) addCount(service string, requests, retries int) {
+	sum := s.counts[service]
+	sum.Requests += requests
+	sum.Retries += retries
+	if sum != (budget.Count{}) {
+		s.counts[service] = sum
+	} else {
+		delete(s.counts, service)
+	}
+}
+
+// fullServers are the servers that are reported as full.
+type fullServers map[string]*fullReports
+
+// fullReports are the reports on one server: how long each reporter treats it as full, the longest
+// time and the longest one of the others.
+type fullReports struct {
+	by              map[string]time.Duration
+	longest, second time.Duration
+	from            string
+}
+
+func (f fullServers) put(from, id string, span time.Duration) {
+	reports, ok := f[id]
+	if !ok {
+		reports = &fullReports{by: make(map[string]time.Duration)}
+		f[id] = reports
+	}
+	if known, ok := reports.by[from]; !ok || known != span {
+		reports.by[from] = span
+		reports.rank()
+	}
+}
+
+func (f fullServers) remove(from, id string) {
+	reports, ok := f[id]
+	if !ok {
+		return
+	}
+	if delete(reports.by, from); len(reports.by) == 0 {
+		delete(f, id)
+		return
+	}
+	reports.rank()
+}
+
+func (r *fullReports) rank() {
+	r.longest, r.second, r.from = 0, 0, ""
+	for from, span := range r.by {
+		if span > r.longest || r.from == "" {
+			r.longest, r.second, r.from = span, r.longest, from
+		} else {
+			r.second = max(r.second, span)
+		}
+	}
+}
+
+// except returns the full servers with the longest time that anyone but one reporter states.
+func (f fullServers) except(reporter string) map[string]time.Duration {
+	full := make(map[string]time.Duration, len(f))
+	for id, reports := range f {
+		switch {
+		case reports.from != reporter:
+			full[id] = reports.longest
+		case len(reports.by) > 1:
+			full[id] = reports.second
+		}
+	}
+	return full
+}
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -10,6 +10,7 @@
 package tally
 
 import (
+	"math"
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
@@ -17,15 +18,9 @@
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
-// Parameters of a hub.
-const (
-	// ReportTTL is how long the loads of a report count after it was received: three reporting
-	// intervals. The requests of a VM that has gone have ended.
-	ReportTTL = 750 * time.Millisecond
-	// CountsTTL is how long the retries of a report count: they were made within the window of
-	// the retry budget, whatever became of the VM.
-	CountsTTL = 10 * time.Second
-)
+// LoadUnit is the unit of reported memory usage, in tokens times layers: an eighth of a
+// usual request on a usual server.
+const LoadUnit = 2048
 
 // Tally is the aggregated state of some VMs.
 type Tally struct {
@@ -33,6 +28,9 @@
 	VMs int
 	// Loads is the usage by their requests, by server.
 	Loads map[string]backends.Usage
+	// Partial is set if Loads has only the servers whose usage changed; that of the others is as
+	// before.
+	Partial bool
 	// Counts are their requests and retries, by service.
 	Counts map[string]budget.Count
 	// Full lists the servers that recently rejected one of their requests for lack of memory,
@@ -42,89 +40,19 @@
 	Rates map[string]ratelimit.Report
 }
 
-func newTally() Tally {
-	return Tally{Loads: make(map[string]backends.Usage), Counts: make(map[string]budget.Count), Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report)}
-}
-
-func (t *Tally) add(other Tally) {
-	t.VMs += other.VMs
-	for id, load := range other.Loads {
-		t.Loads[id] = t.Loads[id].Add(load)
-	}
-	for service, count := range other.Counts {
-		sum := t.Counts[service]
-		sum.Requests += count.Requests
-		sum.Retries += count.Retries
-		t.Counts[service] = sum
-	}
-	for id, span := range other.Full {
-		t.Full[id] = max(t.Full[id], span)
-	}
-	for id, report := range other.Rates {
-		if known, ok := t.Rates[id]; !ok || report.ObservedAt > known.ObservedAt {
-			t.Rates[id] = report
+// quantize rounds loads down to whole units, as messages do, so that sums are exact. Servers whose
+// usage rounds to nothing are left out.
+func quantize(loads map[string]backends.Usage) map[string]backends.Usage {
+	rounded := make(map[string]backends.Usage, len(loads))
+	for id, load := range loads {
+		load.Memory = math.Floor(load.Memory/LoadUnit) * LoadUnit
+		if load != (backends.Usage{}) {
+			rounded[id] = load
 		}
 	}
+	return rounded
 }
 
-// report is a received tally and the time at which it was received.
-type report struct {
-	at    time.Duration
-	tally Tally
-}
-
-// current returns the part of a report that still counts.
-func (r report) current(now time.Duration) Tally {
-	if now-r.at <= ReportTTL {
-		return r.tally
-	}
-	return Tally{Counts: r.tally.Counts}
-}
-
-// Hub aggregates the reports of its data centre's VMs and the sums of other data centres.
-type Hub struct {
-	dataCentre  string
-	vms, remote map[string]report
-}
-
-// NewHub returns the hub of a data centre, without any reports.
-func NewHub(dataCentre string) *Hub {
-	return &Hub{dataCentre: dataCentre, vms: make(map[string]report), remote: make(map[string]report)}
-}
-
-// Report records a VM's own tally.
-func (h *Hub) Report(now time.Duration, vm string, tally Tally) { h.vms[vm] = report{now, tally} }
-
-// ReportRemote records the sum of another data centre.
-func (h *Hub) ReportRemote(now time.Duration, dataCentre string, tally Tally) {
-	if dataCentre != h.dataCentre {
-		h.remote[dataCentre] = report{now, tally}
-	}
-}
-
-// LocalSum returns the sum of this data centre's VMs except the given one; an empty name excludes
-// none.
-func (h *Hub) LocalSum(now time.Duration, except string) Tally {
-	sum := newTally()
-	sum.addReports(now, h.vms, except)
-	return sum
-}
-
-// SumExcept returns the sum of all VMs except the given one.
-func (h *Hub) SumExcept(now time.Duration, except string) Tally {
-	sum := h.LocalSum(now, except)
-	sum.addReports(now, h.remote, "")
-	return sum
-}
-
-// addReports adds the parts of reports that still count, except those from the given VM, and
-// deletes expired reports.
-func (t *Tally) addReports(now time.Duration, reports map[string]report, except string) {
-	for from, report := range reports {
-		if now-report.at > CountsTTL {
-			delete(reports, from)
-		} else if from != except {
-			t.add(report.current(now))
-		}
-	}
+func subtract(from, usage backends.Usage) backends.Usage {
+	return backends.Usage{Memory: from.Memory - usage.Memory, Running: from.Running - usage.Running}
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -186,11 +186,24 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.budget.SetPeerCounts(d.now(), others.VMs, others.Counts)
-	d.fleet.SetRemoteUsage(others.Loads, others.VMs)
+	if others.Partial {
+		d.fleet.UpdateRemoteUsage(others.Loads, others.VMs)
+	} else {
+		d.fleet.SetRemoteUsage(others.Loads, others.VMs)
+	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
 }
 
+// ServerIn reports whether a server is in a data centre. It is false for a known server of another
+// one.
+func (d *Dispatcher) ServerIn(id, dataCentre string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	server, ok := d.fleet.Server(id)
+	return !ok || server.DataCentre == dataCentre
+}
+
 // SetMembers sets this VM and all live VMs, which share the servers' request rates.
 func (d *Dispatcher) SetMembers(self string, vms []lease.VM) {
 	d.mu.Lock()
