Exchange more rarely in large data centres, and believe partners' reports

Cause: a round each 150 ms of every VM is most of what an idle VM of a large data centre does: 13 of its 20 calls a second.

Change: with 128 VMs a VM exchanges each second interval, with 256 each third and so on; the timeouts of heartbeats grow along. So that failures are known as soon, VMs that called another one in vain report it, and two such reports count against a VM of the same data centre that has been silent for half of its timeout. Reports of a process that was replaced are dropped.

With 200 VMs a silent VM is known to be gone after 2.9 s and the time of two reports, by the constants; 5.7 s before.

--- a/internal/core/fleet/vms.go
+++ b/internal/core/fleet/vms.go
@@ -44,10 +44,16 @@
 	goneFactor                  = 2
 )
 
+// pacedVMsLog2 is the binary logarithm of the number of VMs of a data centre up to which they
+// exchange in each heartbeat interval.
+const pacedVMsLog2 = 7
+
 type vmRecord struct {
-	status         VMStatus
-	lastContact    time.Duration
-	refused        bool
+	status      VMStatus
+	lastContact time.Duration
+	refused     bool
+	// unanswered is set when a call to the VM timed out and nothing came from it since.
+	unanswered     bool
 	leaving        bool
 	left           bool
 	reportedDownBy map[string]struct{}
@@ -68,8 +74,9 @@
 	// nextRemoteCheck is the earliest time at which a VM of another data centre may have
 	// been silent for RemoteGoneAfter.
 	nextRemoteCheck time.Duration
-	// gone are the VMs that are Gone.
-	gone map[string]struct{}
+	// gone are the VMs that are Gone, and localGone the number of them in the own data centre.
+	gone      map[string]struct{}
+	localGone int
 	// statuses are the states of all VMs sorted by name; nil after a change.
 	statuses []VMStatus
 	version  uint64
@@ -86,7 +93,9 @@
 	if name == v.options.Self {
 		return
 	}
-	v.remove(name)
+	if v.remove(name) {
+		v.forgetWitness(name) // what the earlier process reported
+	}
 	vm := &vmRecord{
 		status:         VMStatus{Name: name, DataCentre: dataCentre, Since: now},
 		lastContact:    now,
@@ -101,19 +110,20 @@
 	v.changed()
 }
 
-// remove removes a VM, if it is known.
-func (v *VMDetector) remove(name string) {
+// remove removes a VM and reports whether it was known.
+func (v *VMDetector) remove(name string) bool {
 	vm, known := v.vms[name]
 	if !known {
-		return
+		return false
 	}
 	delete(v.vms, name)
 	delete(v.evidence, name)
-	delete(v.gone, name)
+	v.setGone(vm, false)
 	if i, found := slices.BinarySearchFunc(v.local, name, compareRecordName); found && v.local[i] == vm {
 		v.local = slices.Delete(v.local, i, i+1)
 	}
 	v.changed()
+	return true
 }
 
 func compareRecordName(vm *vmRecord, name string) int { return cmp.Compare(vm.status.Name, name) }
@@ -144,8 +154,8 @@
 func (v *VMDetector) RecordContact(now time.Duration, name string) {
 	if vm, ok := v.vms[name]; ok {
 		vm.lastContact = now
-		if vm.refused || vm.status.State == Gone {
-			vm.refused = false
+		if vm.refused || vm.unanswered || vm.status.State == Gone {
+			vm.refused, vm.unanswered = false, false
 			v.addEvidence(name, vm)
 		}
 	}
@@ -160,6 +170,20 @@
 	}
 }
 
+// CallTimedOut records that a VM didn't answer a call.
+func (v *VMDetector) CallTimedOut(name string) {
+	if vm, ok := v.vms[name]; ok {
+		vm.unanswered = true
+		v.addEvidence(name, vm)
+	}
+}
+
+// Unreachable reports whether the last call to a VM was refused or timed out.
+func (v *VMDetector) Unreachable(name string) bool {
+	vm, ok := v.vms[name]
+	return ok && (vm.refused || vm.unanswered)
+}
+
 // SetLeaving sets whether a VM reports that it is shutting down (leaving), or that it
 // has stopped (left).
 func (v *VMDetector) SetLeaving(name string, leaving, left bool) {
@@ -187,7 +211,7 @@
 // tick itself is late, this VM was paused and missed the heartbeats of the others,
 // so their timeouts restart.
 func (v *VMDetector) Tick(now time.Duration) []VMStatus {
-	if late := now - v.lastTick; v.lastTick != 0 && late > v.options.PausedAfter {
+	if late := now - v.lastTick; v.lastTick != 0 && late > time.Duration(v.Pace())*v.options.PausedAfter {
 		for _, vm := range v.vms {
 			vm.lastContact = now
 		}
@@ -198,8 +222,8 @@
 	localSuspectAfter := v.suspectAfter()
 	for _, vm := range v.due(now) {
 		state := v.evaluate(now, vm, localSuspectAfter)
-		if vm.refused && silentFor(now, vm) < localSuspectAfter {
-			v.addEvidence(vm.status.Name, vm) // it counts as gone once it was silent for long enough
+		if (vm.refused || vm.unanswered) && silentFor(now, vm) < localSuspectAfter {
+			v.addEvidence(vm.status.Name, vm) // it counts for more once the VM was silent for long enough
 		}
 		if state == vm.status.State {
 			continue
@@ -207,15 +231,31 @@
 		vm.status.State, vm.status.Since = state, now
 		v.changed()
 		changed = append(changed, vm.status)
-		delete(v.gone, vm.status.Name)
+		v.setGone(vm, state == Gone)
 		if state == Gone {
-			v.gone[vm.status.Name] = struct{}{}
 			v.forgetWitness(vm.status.Name)
 		}
 	}
 	return changed
 }
 
+// setGone records whether a VM is Gone.
+func (v *VMDetector) setGone(vm *vmRecord, gone bool) {
+	if _, was := v.gone[vm.status.Name]; was == gone {
+		return
+	}
+	change := 1
+	if gone {
+		v.gone[vm.status.Name] = struct{}{}
+	} else {
+		delete(v.gone, vm.status.Name)
+		change = -1
+	}
+	if v.isLocal(vm) {
+		v.localGone += change
+	}
+}
+
 // due returns the VMs whose state may have changed since the last Tick, sorted by name.
 func (v *VMDetector) due(now time.Duration) []*vmRecord {
 	if now >= v.nextRemoteCheck {
@@ -254,16 +294,19 @@
 
 func (v *VMDetector) evaluate(now time.Duration, vm *vmRecord, localSuspectAfter time.Duration) State {
 	silence := silentFor(now, vm)
-	suspectAfter, goneAfter, downReports := localSuspectAfter, goneFactor*localSuspectAfter, 0
+	suspectAfter, goneAfter, downReports := localSuspectAfter, goneFactor*localSuspectAfter, len(vm.reportedDownBy)
+	doubtful := silence >= localSuspectAfter/2
 	if !v.isLocal(vm) {
 		// Heartbeats don't cross data centres, so the reports of VMs there count.
-		suspectAfter, goneAfter, downReports = v.options.RemoteGoneAfter, v.options.RemoteGoneAfter, len(vm.reportedDownBy)
+		suspectAfter, goneAfter = v.options.RemoteGoneAfter, v.options.RemoteGoneAfter
+	} else if !doubtful || v.Pace() == 1 {
+		downReports = 0 // heartbeats are newer, or come often enough
 	}
 	refused := vm.refused && silence >= localSuspectAfter
 	switch {
 	case vm.left, silence >= goneAfter, refused, downReports >= 2:
 		return Gone
-	case silence >= suspectAfter, vm.refused, downReports > 0:
+	case silence >= suspectAfter, vm.refused, downReports > 0, v.isLocal(vm) && vm.unanswered && doubtful:
 		return Suspect
 	case vm.leaving:
 		return Leaving
@@ -275,15 +318,18 @@
 // suspectAfter is the heartbeat timeout after which a VM of this data centre becomes
 // Suspect.
 func (v *VMDetector) suspectAfter() time.Duration {
-	localVMs := 0
-	for _, vm := range v.local {
-		if vm.status.State != Gone {
-			localVMs++
-		}
-	}
-	return time.Duration(suspectBaseIntervals+suspectIntervalsPerDoubling*bits.Len(uint(localVMs))) * v.options.HeartbeatInterval
+	intervals := (suspectBaseIntervals + suspectIntervalsPerDoubling*bits.Len(uint(v.localVMs()))) * v.Pace()
+	return time.Duration(intervals) * v.options.HeartbeatInterval
 }
 
+// localVMs returns the number of other VMs of this data centre that are not gone.
+func (v *VMDetector) localVMs() int { return len(v.local) - v.localGone }
+
+// Pace returns the number of heartbeat intervals between two exchanges of a VM. What an
+// exchange costs grows with the VMs of the data centre, so large ones have fewer of them; that
+// a VM is gone is known about as soon, by the reports of its partners.
+func (v *VMDetector) Pace() int { return max(1, bits.Len(uint(v.localVMs()))-pacedVMsLog2+1) }
+
 // RemoveExpired removes the VMs that have been Gone for at least ForgetAfter, and
 // returns their names.
 func (v *VMDetector) RemoveExpired(now time.Duration) []string {
--- a/internal/core/fleet/vms_test.go
+++ b/internal/core/fleet/vms_test.go
@@ -36,6 +36,7 @@
 				both(func(v *VMDetector) { v.Add(now, name, string("ab"[name[3]%2])) })
 			},
 			"contact": func(t *rapid.T) { name := vm.Draw(t, "name"); both(func(v *VMDetector) { v.RecordContact(now, name) }) },
+			"timeout": func(t *rapid.T) { name := vm.Draw(t, "name"); both(func(v *VMDetector) { v.CallTimedOut(name) }) },
 			"refused": func(t *rapid.T) { name := vm.Draw(t, "name"); both(func(v *VMDetector) { v.ConnectionRefused(name) }) },
 			"leaving": func(t *rapid.T) {
 				name, left := vm.Draw(t, "name"), rapid.Bool().Draw(t, "left")
@@ -62,3 +63,63 @@
 		}
 	})
 }
+
+// largeDataCentre returns the detector of one of 200 VMs that all have just been heard of.
+func largeDataCentre(now time.Duration) *VMDetector {
+	v := NewVMDetector(VMDetectorOptions{Self: "vm-0", DataCentre: "a", HeartbeatInterval: time.Second, RemoteGoneAfter: time.Hour, ForgetAfter: time.Hour, PausedAfter: 3 * time.Second})
+	for i := range 200 {
+		v.Add(now, fmt.Sprint("vm-", i), "a")
+	}
+	v.Tick(now)
+	return v
+}
+
+// Guards against failures that are noticed later because a large data centre exchanges more
+// rarely: two VMs that called a VM in vain are enough, but not while its heartbeats come.
+func TestReportsOfPartnersReplaceSilenceInALargeDataCentre(t *testing.T) {
+	now := time.Minute
+	v := largeDataCentre(now)
+	if v.Pace() != 2 {
+		t.Fatalf("pace %d", v.Pace())
+	}
+	half := v.suspectAfter() / 2
+	v.SetDownReport("vm-1", "vm-9", true)
+	v.SetDownReport("vm-2", "vm-9", true)
+	state := func(until time.Duration) State {
+		for ; now < until; now += time.Second {
+			for i := range 200 {
+				if i != 9 {
+					v.RecordContact(now, fmt.Sprint("vm-", i))
+				}
+			}
+			v.Tick(now)
+		}
+		return v.State("vm-9")
+	}
+	silentUntil := now + half
+	if got := state(silentUntil); got != Live {
+		t.Fatalf("%s although its heartbeats are newer than that", got)
+	}
+	if got := state(silentUntil + time.Second); got != Gone {
+		t.Fatalf("%s after two reports and silence", got)
+	}
+	v.RecordContact(now, "vm-9")
+	if got := state(now + time.Second); got != Live {
+		t.Fatalf("%s although it is back", got)
+	}
+}
+
+func TestPaceFollowsTheVMsOfTheDataCentre(t *testing.T) {
+	v := NewVMDetector(VMDetectorOptions{Self: "vm-0", DataCentre: "a"})
+	paces := make(map[int]int)
+	for i := 1; i <= 600; i++ {
+		v.Add(0, fmt.Sprint("vm-", i), "a")
+		v.Add(0, fmt.Sprint("far-", i), "b")
+		paces[i] = v.Pace()
+	}
+	for vms, pace := range map[int]int{1: 1, 127: 1, 128: 2, 255: 2, 256: 3, 512: 4} {
+		if paces[vms] != pace {
+			t.Fatalf("%d VMs: pace %d, expected %d", vms, paces[vms], pace)
+		}
+	}
+}
