Compare servers of a layout by position instead of by name

Cause: the pairs of a data centre's servers that could swap their ranges were each looked up by name, and ordered servers were searched in the list: 30.7 ms for a plan at 770 servers, five times a second on the VM that places.

Change: positions and what each holds are kept by card; the swaps are the same.

Measured, BenchmarkPlan at 33, 86 and 770 servers: 78 us, 412 us and 30.7 ms before, 40 us, 112 us and 3.0 ms after.

--- a/internal/core/spread/migration.go
+++ b/internal/core/spread/migration.go
@@ -83,29 +83,43 @@
 func reassign(servers []Server, orders []Order) []Order {
 	matched := slices.Clone(orders)
 	slices.SortStableFunc(matched, func(a, b Order) int { return cmp.Compare(a.Layers.From, b.Layers.From) })
-	cards := make(map[string]Server, len(servers))
+	holders := make(map[string]Server, len(servers))
 	for _, s := range servers {
-		cards[s.ID] = s
+		holders[s.ID] = s
 	}
-	for improved := true; improved; {
-		improved = false
-		for i := range matched {
-			for j := i + 1; j < len(matched); j++ {
-				a, b := cards[matched[i].Server], cards[matched[j].Server]
-				if a.Card != b.Card || swapGain(a, b, matched[i].Layers, matched[j].Layers) <= 0 {
-					continue
-				}
-				matched[i].Server, matched[j].Server = b.ID, a.ID
-				improved = true
-			}
+	// Positions in matched by card, each with what its server holds: hundreds of servers make
+	// hundreds of thousands of pairs.
+	byCard := make(map[routes.Card][]int)
+	held := make([]api.Layers, len(matched))
+	for i, order := range matched {
+		s := holders[order.Server]
+		byCard[s.Card], held[i] = append(byCard[s.Card], i), s.planned()
+	}
+	for _, positions := range byCard {
+		for swapAll(matched, held, positions) {
 		}
 	}
 	return matched
 }
 
-// swapGain returns how many fewer layers are loaded if two servers swap their ranges.
-func swapGain(a, b Server, forA, forB api.Layers) int {
-	return overlap(a.planned(), forB) + overlap(b.planned(), forA) - overlap(a.planned(), forA) - overlap(b.planned(), forB)
+// swapAll swaps the servers of each pair of positions that gains by it, and reports whether any did.
+func swapAll(matched []Order, held []api.Layers, positions []int) (swapped bool) {
+	for at, i := range positions {
+		for _, j := range positions[at+1:] {
+			if swapGain(held[i], held[j], matched[i].Layers, matched[j].Layers) > 0 {
+				matched[i].Server, matched[j].Server = matched[j].Server, matched[i].Server
+				held[i], held[j] = held[j], held[i]
+				swapped = true
+			}
+		}
+	}
+	return swapped
+}
+
+// swapGain returns how many fewer layers are loaded if two servers, given by what they hold, swap
+// their ranges.
+func swapGain(heldA, heldB, forA, forB api.Layers) int {
+	return overlap(heldA, forB) + overlap(heldB, forA) - overlap(heldA, forA) - overlap(heldB, forB)
 }
 
 func overlap(a, b api.Layers) int { return a.Overlap(b).Len() }
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -63,18 +63,19 @@
 // its part of it. The result is false otherwise.
 func initialOrders(engine *routes.Engine, servers []Server) ([]Order, bool) {
 	orders := reassign(servers, Layout(engine, servers))
-	ranges := make(map[string]api.Layers, len(orders))
+	ranges, position := make(map[string]api.Layers, len(orders)), make(map[string]int, len(servers))
 	for _, order := range orders {
 		ranges[order.Server] = order.Layers
 	}
-	for _, s := range servers {
+	for i, s := range servers {
 		if s.planned().Len() > 0 && s.planned() != ranges[s.ID] {
 			return nil, false
 		}
+		position[s.ID] = i
 	}
 	return slices.DeleteFunc(orders, func(o Order) bool {
-		at := slices.IndexFunc(servers, func(s Server) bool { return s.ID == o.Server })
-		return servers[at].Lost || servers[at].planned().Len() > 0
+		s := servers[position[o.Server]]
+		return s.Lost || s.planned().Len() > 0
 	}), true
 }
 
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -105,9 +105,9 @@
 	slices.SortFunc(rest, func(a, b Server) int {
 		return cmp.Or(cmp.Compare(a.Card.Pace, b.Card.Pace), cmp.Compare(engine.MaxLayers(b.Card), engine.MaxLayers(a.Card)), cmp.Compare(a.ID, b.ID))
 	})
-	placed := make([]Server, len(servers))
+	placed, position := make([]Server, len(servers)), make(map[string]int, len(servers))
 	for i, s := range servers {
-		placed[i] = Server{ID: s.ID, Card: s.Card, Held: s.planned()}
+		placed[i], position[s.ID] = Server{ID: s.ID, Card: s.Card, Held: s.planned()}, i
 	}
 	var orders []Order
 	for fill, next := fillFirst, fillSecond; ; fill, next = next, fillFurther {
@@ -120,8 +120,7 @@
 		}
 		for _, order := range divideLayers(engine, rest[:size]) {
 			orders = append(orders, order)
-			at := slices.IndexFunc(placed, func(s Server) bool { return s.ID == order.Server })
-			placed[at].Held = order.Layers
+			placed[position[order.Server]].Held = order.Layers
 		}
 		rest = rest[size:]
 	}
