--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -6,56 +6,55 @@
 	"time"
 )
 
-// way is what a proxy does with bytes.
-type way int
+// proxyMode is how a proxy handles bytes.
+type proxyMode int
 
 const (
-	passes way = iota
-	// silent holds everything back, and takes connections without a word.
-	silent
-	// delayed passes bytes on later.
+	forwarding proxyMode = iota
+	// blackholed accepts connections and forwards nothing.
+	blackholed
+	// delayed forwards bytes after delay.
 	delayed
 )
 
-// delay is how much later bytes come on a delayed way.
+// delay is the additional latency of a delayed proxy.
 const delay = 60 * time.Millisecond
 
-// proxy is a way on loopback from whoever connects to a target. It is safe for concurrent
-// use.
+// proxy forwards connections on loopback to a target. It is safe for concurrent use.
 type proxy struct {
 	address string
 
 	mu       sync.Mutex
 	listener net.Listener
 	target   string
-	is       way
-	// changed is closed and replaced when the way changes.
+	mode     proxyMode
+	// changed is closed and replaced when the mode changes.
 	changed chan struct{}
-	open    map[net.Conn]struct{}
+	conns   map[net.Conn]struct{}
 }
 
-// newProxy listens; nothing passes until it has a target.
+// newProxy returns a proxy that listens. It forwards nothing until it has a target.
 func newProxy() (*proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{address: listener.Addr().String(), listener: listener, changed: make(chan struct{}), open: make(map[net.Conn]struct{})}
+	p := &proxy{address: listener.Addr().String(), listener: listener, changed: make(chan struct{}), conns: make(map[net.Conn]struct{})}
 	go p.accept(listener)
 	return p, nil
 }
 
-// set changes the way.
-func (p *proxy) set(is way) {
+// setMode changes the mode.
+func (p *proxy) setMode(is proxyMode) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.is = is
+	p.mode = is
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// lead changes the target. Empty has nobody listen.
-func (p *proxy) lead(target string) error {
+// setTarget changes the target. With an empty target connections are refused.
+func (p *proxy) setTarget(target string) error {
 	p.mu.Lock()
 	p.target = target
 	p.mu.Unlock()
@@ -97,13 +96,13 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for conn := range p.open {
+	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // a connection that is gone needs no reset
 		}
 		_ = conn.Close()
 	}
-	clear(p.open)
+	clear(p.conns)
 }
 
 func (p *proxy) accept(listener net.Listener) {
@@ -112,18 +111,18 @@
 		if err != nil {
 			return
 		}
-		go p.join(conn)
+		go p.serve(conn)
 	}
 }
 
-// join connects a caller with the target.
-func (p *proxy) join(conn net.Conn) {
+// serve forwards one connection to the target.
+func (p *proxy) serve(conn net.Conn) {
 	defer conn.Close()
-	if !p.keep(conn) {
+	if !p.track(conn) {
 		return
 	}
-	defer p.drop(conn)
-	p.wait()
+	defer p.untrack(conn)
+	p.awaitForwarding()
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
@@ -132,10 +131,10 @@
 		return
 	}
 	defer far.Close()
-	if !p.keep(far) {
+	if !p.track(far) {
 		return
 	}
-	defer p.drop(far)
+	defer p.untrack(far)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -145,47 +144,47 @@
 	<-done
 }
 
-func (p *proxy) keep(conn net.Conn) bool {
+func (p *proxy) track(conn net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.target == "" {
 		return false
 	}
-	p.open[conn] = struct{}{}
+	p.conns[conn] = struct{}{}
 	return true
 }
 
-func (p *proxy) drop(conn net.Conn) {
+func (p *proxy) untrack(conn net.Conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	delete(p.open, conn)
+	delete(p.conns, conn)
 }
 
-// wait holds on as the way says.
-func (p *proxy) wait() {
+// awaitForwarding blocks until the mode lets bytes pass.
+func (p *proxy) awaitForwarding() {
 	for {
 		p.mu.Lock()
-		is, changed := p.is, p.changed
+		is, changed := p.mode, p.changed
 		p.mu.Unlock()
 		switch is {
-		case silent:
+		case blackholed:
 			<-changed
 			continue
 		case delayed:
 			time.Sleep(delay)
-		case passes:
+		case forwarding:
 		}
 		return
 	}
 }
 
-// copy passes bytes on until one side ends, and then ends both.
+// copy forwards bytes until one side closes, and then closes both.
 func (p *proxy) copy(to, from net.Conn) {
 	buffer := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.wait()
+			p.awaitForwarding()
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				err = writeErr
 			}
--- a/internal/soak/rates.go
+++ b/internal/soak/rates.go
@@ -8,20 +8,20 @@
 	"oleandershunt.example/oleandershunt/platform/standin"
 )
 
-// The bound on requests at a server that sets a rate.
+// Parameters of the check of rate limits.
 const (
-	// rateWindow is the time within which requests are counted, rateFactor and rateSlack the
-	// bound: so many times the rate, and so many more.
+	// rateWindow is the time within which requests are counted. The bound is rateFactor times the
+	// rate plus rateSlack.
 	rateWindow = 4 * time.Second
 	rateFactor = 1.5
 	rateSlack  = 5
-	// toldAfter is how long after its first request a VM counts as told.
-	toldAfter = 750 * time.Millisecond
+	// limitKnownAfter is how long after its first request a VM must know the rate limit.
+	limitKnownAfter = 750 * time.Millisecond
 )
 
-// checkRate holds the requests at a server against the rate that it set, for the VMs that were
-// told it.
-func (f *facts) checkRate(rate rated, sent map[string]request) []finding {
+// checkRate checks the requests at a server against the rate that it set. Only VMs that must know
+// the rate count.
+func (f *observations) checkRate(rate rateLimit, sent map[string]request) []finding {
 	told := make(map[string]time.Time)
 	var counted []time.Time
 	arrivals := slices.Clone(f.arrivals)
@@ -34,8 +34,8 @@
 		if _, ok := told[vm]; !ok {
 			told[vm] = a.At
 		}
-		calm := f.vms[vm].quiet(a.At, a.At, f.bounds.Contact) && f.stops[vm].quiet(a.At, a.At, f.bounds.Contact)
-		if calm && a.At.Sub(told[vm]) >= toldAfter && a.At.Sub(rate.from) >= f.bounds.Contact {
+		calm := f.vms[vm].undisturbed(a.At, a.At, f.bounds.Contact) && f.stops[vm].undisturbed(a.At, a.At, f.bounds.Contact)
+		if calm && a.At.Sub(told[vm]) >= limitKnownAfter && a.At.Sub(rate.from) >= f.bounds.Contact {
 			counted = append(counted, a.At)
 		}
 	}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -9,19 +9,19 @@
 	"github.com/rotisserie/eris"
 )
 
-// Report is what a run found.
+// Report is the result of a run.
 type Report struct {
 	Seed     uint64
 	Faults   []Fault
 	Requests int
-	// Served are the requests with a whole answer, and Arrivals those that reached servers.
+	// Served is the number of requests with a complete answer, and Arrivals the number of requests
+	// that reached servers.
 	Served, Arrivals int
-	// Findings are the broken promises, and Untimed those that no slow machine can bring
-	// about.
+	// Findings are the failed checks, and Untimed those of them that a slow machine can't cause.
 	Findings, Untimed []string
 }
 
-// usages is what each VM holds when it is idle.
+// usages returns the resources that each VM holds while it is idle.
 func (w *world) usages() []usage {
 	w.callers.client.CloseIdleConnections()
 	time.Sleep(settle)
@@ -37,17 +37,17 @@
 	return list
 }
 
-// report checks what was seen. It must be called with the lock held.
+// report runs the checks. It must be called with the lock held.
 func (w *world) report(plan []Fault, before, after float64, held, now []usage) (Report, error) {
 	f := &w.facts
-	f.requests, f.arrivals, f.versions, f.before, f.after = w.callers.done(), w.log.Arrivals(), w.versions, before, after
+	f.requests, f.arrivals, f.versions, f.before, f.after = w.callers.completed(), w.log.Arrivals(), w.versions, before, after
 	f.leaks = leaks(w.vms, held, now)
 	if err := w.explain(f); err != nil {
 		return Report{}, err
 	}
 	report := Report{Seed: w.options.Seed, Faults: plan, Requests: len(f.requests), Arrivals: len(f.arrivals)}
 	for _, r := range f.requests {
-		if r.whole {
+		if r.complete {
 			report.Served++
 		}
 	}
@@ -61,15 +61,14 @@
 	return report, nil
 }
 
-// explain looks for the lines of failed requests. Lines of a process that was killed may be
-// lost with it.
-func (w *world) explain(f *facts) error {
+// explain looks for the log lines of failed requests. Those of a killed process may be lost.
+func (w *world) explain(f *observations) error {
 	for _, v := range w.vms {
 		var failed []string
 		for _, r := range f.requests {
 			refusal := r.status >= http.StatusInternalServerError && r.execution != ""
-			cut := r.status == http.StatusOK && r.err != "" && r.left.IsZero()
-			if r.vm == v.Name && r.version == 0 && (refusal || cut) && f.vms[v.Name].quiet(r.sent, r.ended, 0) {
+			cut := r.status == http.StatusOK && r.err != "" && r.abandonedAt.IsZero()
+			if r.vm == v.Name && r.version == 0 && (refusal || cut) && f.vms[v.Name].undisturbed(r.sent, r.ended, 0) {
 				failed = append(failed, r.id)
 			}
 		}
@@ -87,13 +86,13 @@
 	return nil
 }
 
-// The growth of what a VM holds that is no leak: a VM may have taken another's duties.
+// The growth of a VM's resources that is no leak: it may have taken over roles of another VM.
 const (
-	leakFactor = 1.5
-	leakFew    = 40
+	leakFactor    = 1.5
+	leakAllowance = 40
 )
 
-// leaks compares what VMs hold with the most that any held at first.
+// leaks compares the VMs' resources with the maximum that any VM held at first.
 func leaks(vms []*vm, held, now []usage) []string {
 	var most usage
 	for _, u := range held {
@@ -102,16 +101,16 @@
 	}
 	var found []string
 	for i, u := range now {
-		if over(u.Descriptors, most.Descriptors) || over(u.Goroutines, most.Goroutines) || over(u.ResidentMB, most.ResidentMB) {
+		if isLeak(u.Descriptors, most.Descriptors) || isLeak(u.Goroutines, most.Goroutines) || isLeak(u.ResidentMB, most.ResidentMB) {
 			found = append(found, fmt.Sprintf("%s: %+v, at most %+v at first", vms[i].Name, u, most))
 		}
 	}
 	return found
 }
 
-func over(now, before int) bool { return float64(now) > leakFactor*float64(before)+leakFew }
+func isLeak(now, before int) bool { return float64(now) > leakFactor*float64(before)+leakAllowance }
 
-// Text is a report as a table's line, with what it found below.
+// Text returns the report as one line, followed by a line for each finding.
 func (r Report) Text() string {
 	var b strings.Builder
 	kinds := make(map[Kind]int)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -22,7 +22,7 @@
 	race      = flag.Bool("soak.race", false, "build the VMs' program with the race detector")
 )
 
-// build makes the VMs' program.
+// build builds the program of the VMs.
 func build(t *testing.T, arguments ...string) string {
 	if *race {
 		arguments = append(arguments, "-race")
@@ -37,8 +37,8 @@
 	return report
 }
 
-// TestShortSoak is the part that runs with all tests: one seed of a few seconds. Its verdict
-// rests on what no slow machine can bring about.
+// TestShortSoak runs with all tests: one seed of a few seconds. Only checks that can't fail because
+// the machine is slow count.
 func TestShortSoak(t *testing.T) {
 	const seed, vms, lasts = 5, 3, 5 * time.Second
 	report := play(t, build(t), seed, vms, lasts)
@@ -47,7 +47,7 @@
 	g.Expect(report.Served).To(BeNumerically(">", report.Requests/4), "the checks had something to check")
 }
 
-// TestSoak plays seeds, one subtest each.
+// TestSoak runs the seeds that the flags select, each as a subtest.
 func TestSoak(t *testing.T) {
 	if *seeds == 0 {
 		t.Skip("give -soak.seeds to play seeds; docs/SOAK.md has how")
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -14,12 +14,12 @@
 	"oleandershunt.example/oleandershunt/platform/standin"
 )
 
-// server is a backend server with the way to it.
+// server is a backend server behind a proxy.
 type server struct {
 	*standin.Server
-	way *proxy
-	// taken says that a fault is at work on it, or that it leaves.
-	taken bool
+	proxy *proxy
+	// inFault is set while a fault uses the server, or once it leaves.
+	inFault bool
 }
 
 // world is a running deployment.
@@ -33,18 +33,18 @@
 	http    *http.Server
 	callers *callers
 
-	mu       sync.Mutex
-	servers  []*server
-	made     int
-	versions []applied
-	facts    facts
-	errs     []error
-	wait     sync.WaitGroup
+	mu             sync.Mutex
+	servers        []*server
+	serversCreated int
+	versions       []configVersion
+	facts          observations
+	errs           []error
+	wait           sync.WaitGroup
 }
 
 func newWorld(options Options) (*world, error) {
 	w := &world{options: options, store: standin.NewStore(), log: &standin.Log{}, peers: standin.NewPeers()}
-	w.facts = facts{bounds: bounds, vms: make(map[string]*spans), servers: make(map[string]*spans), stops: make(map[string]*spans)}
+	w.facts = observations{bounds: bounds, vms: make(map[string]*spans), servers: make(map[string]*spans), stops: make(map[string]*spans)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -56,7 +56,7 @@
 		return nil, err
 	}
 	for _, v := range w.vms {
-		if err := v.store.lead(w.storeAt); err != nil {
+		if err := v.store.setTarget(w.storeAt); err != nil {
 			return nil, err
 		}
 	}
@@ -88,16 +88,16 @@
 	}
 	for _, s := range w.servers {
 		s.Kill()
-		_ = s.way.close()
+		_ = s.proxy.close()
 	}
 	_ = w.http.Close()
 }
 
-// configure writes the next version of the configuration.
+// configure writes the next version of the configuration to the store.
 func (w *world) configure() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	next := applied{version: len(w.versions) + 1, sent: time.Now()}
+	next := configVersion{version: len(w.versions) + 1, sent: time.Now()}
 	next.stored = w.store.PutConfiguration(next.version)
 	w.versions = append(w.versions, next)
 }
@@ -115,16 +115,16 @@
 		return err
 	}
 	w.mu.Lock()
-	w.made++
+	w.serversCreated++
 	options := standin.Options{
-		ID: fmt.Sprintf("i-%d", w.made), Service: standin.PlainService, DataCentre: dataCentres[w.made%len(dataCentres)],
+		ID: fmt.Sprintf("i-%d", w.serversCreated), Service: standin.PlainService, DataCentre: dataCentres[w.serversCreated%len(dataCentres)],
 		Slots: 24, Work: 900 * time.Millisecond, Address: way.address,
 	}
 	if card != "" {
 		options.Service, options.Card, options.Layers = standin.ModelService, card, standin.ModelLayers
 		options.Event, options.LoadTime, options.Stall = 15*time.Millisecond, time.Second, 2*time.Second
 	}
-	s := &server{Server: standin.NewServer(w.store, w.peers, w.log, options), way: way}
+	s := &server{Server: standin.NewServer(w.store, w.peers, w.log, options), proxy: way}
 	w.servers = append(w.servers, s)
 	w.mu.Unlock()
 	return w.startServer(s)
@@ -135,36 +135,36 @@
 	if err != nil {
 		return err
 	}
-	if err := s.way.lead(listener.Addr().String()); err != nil {
+	if err := s.proxy.setTarget(listener.Addr().String()); err != nil {
 		return err
 	}
 	s.Start(listener)
 	return nil
 }
 
-// endedItself notes a process that ended without having been told to.
-func (w *world) endedItself(name string, err error) {
+// recordUnplannedExit records a process that exited without having been signalled.
+func (w *world) recordUnplannedExit(name string, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.facts.ended = append(w.facts.ended, fmt.Sprintf("%s: %v", name, err))
 }
 
-// awaitServing returns when each VM has served a stream.
+// awaitServing returns when each VM has served a stream, or an error after startTimeout.
 func (w *world) awaitServing(ctx context.Context) error {
-	until := time.Now().Add(startWithin)
+	until := time.Now().Add(startTimeout)
 	for i, served := 0, 0; served < len(w.vms); i++ {
-		r := request{id: fmt.Sprintf("start%05d", i), route: standin.StreamRoute, vm: w.vms[served].Name, boot: 1}
-		w.callers.ask(w.vms[served], &r, false)
+		r := request{id: fmt.Sprintf("start%05d", i), route: standin.StreamRoute, vm: w.vms[served].Name, process: 1}
+		w.callers.do(w.vms[served], &r, false)
 		w.callers.mu.Lock()
 		w.callers.all = append(w.callers.all, r)
 		w.callers.mu.Unlock()
 		switch {
-		case r.whole:
+		case r.complete:
 			served++
 		case time.Now().After(until):
-			return eris.Wrapf(ErrNotServing, "%s: status %d %s %s", r.vm, r.status, r.err, r.wrong)
+			return eris.Wrapf(ErrNotServing, "%s: status %d %s %s", r.vm, r.status, r.err, r.mismatch)
 		default:
-			if err := sleep(ctx, probeEvery); err != nil {
+			if err := sleep(ctx, probeInterval); err != nil {
 				return err
 			}
 		}
