Evaluate crashes when one is pending instead of five times a second

An idle VM woke five times a second to look at an empty table. It is woken now by a loss, a refused connection, another process at an address or another VM's finding.

--- a/internal/core/backends/bench_test.go
+++ b/internal/core/backends/bench_test.go
@@ -71,7 +71,9 @@
 
 // BenchmarkPathMixedRanges measures choosing the path of one request over servers with ranges of
 // different lengths.
-func BenchmarkPathMixedRanges(b *testing.B) { benchmarkPath(b, mixedRangeServers, 33, 106, 195, 770, 3000) }
+func BenchmarkPathMixedRanges(b *testing.B) {
+	benchmarkPath(b, mixedRangeServers, 33, 106, 195, 770, 3000)
+}
 
 // BenchmarkPausedPath measures a request for which all servers asked for a pause, each with a
 // different end.
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -18,7 +18,7 @@
 
 // Limits of the detection of requests that crash servers.
 const (
-	// evaluateInterval is the interval at which crashes are evaluated.
+	// evaluateInterval is the minimum time between two evaluations of crashes.
 	evaluateInterval = 200 * time.Millisecond
 	// retryAfterPoison is the Retry-After of a request that crashes servers: longer than any
 	// caller waits for its response.
@@ -56,6 +56,8 @@
 	pendingFindings []poison.Finding
 	// running counts this VM's requests in flight by body.
 	running map[poison.Body]int
+	// changed wakes RunPoisonDetection when an evaluation may be due.
+	changed chan struct{}
 }
 
 // suspectTime is how long a crash counts against a body that isn't condemned: callers retry
@@ -64,7 +66,30 @@
 const suspectTime = 30 * time.Second
 
 func newPoisonSuspects() *poisonSuspects {
-	return &poisonSuspects{table: poison.New(poison.Options{SuspectTime: suspectTime}), running: make(map[poison.Body]int)}
+	return &poisonSuspects{table: poison.New(poison.Options{SuspectTime: suspectTime}), running: make(map[poison.Body]int), changed: make(chan struct{}, 1)}
+}
+
+// wake wakes RunPoisonDetection if something is pending. s.mu must be held.
+func (s *poisonSuspects) wake() {
+	if _, pending := s.table.NextDue(); !pending {
+		return
+	}
+	select {
+	case s.changed <- struct{}{}:
+	default: // it is being woken already
+	}
+}
+
+// nextEvaluation returns a channel that receives when the next evaluation is due, or nil while
+// nothing is pending.
+func (s *poisonSuspects) nextEvaluation() <-chan time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	due, pending := s.table.NextDue()
+	if !pending {
+		return nil
+	}
+	return time.After(max(due-bootclock.Now(), evaluateInterval))
 }
 
 // poisonBody identifies the content of a request, independent of its ID.
@@ -116,6 +141,7 @@
 func (s *poisonSuspects) recordLoss(body poison.Body, server backends.Server, sent time.Duration, events int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.wake()
 	now := bootclock.Now()
 	loss := poison.Loss{Server: server.Address, Incarnation: processID(server.ID), Body: body, Progress: events, Sent: sent}
 	if s.table.RecordLoss(now, loss) {
@@ -137,6 +163,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.table.ConnectionRefused(bootclock.Now(), server.Address)
+	s.wake()
 }
 
 // ObserveProcess records the process at a server's address. A process other than the previous one
@@ -145,15 +172,15 @@
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	h.suspects.table.RecordProbedIncarnation(bootclock.Now(), 0, server.Address, processID(server.ID))
+	h.suspects.wake()
 }
 
 // RunPoisonDetection evaluates crashes until ctx ends.
 func (h *Handler) RunPoisonDetection(ctx context.Context) error {
-	ticker := time.NewTicker(evaluateInterval)
-	defer ticker.Stop()
 	for {
 		select {
-		case <-ticker.C:
+		case <-h.suspects.changed:
+		case <-h.suspects.nextEvaluation():
 			for _, finding := range h.suspects.evaluate() {
 				telemetry.RelayPoison.Log(h.Log, "account", finding.Account, "path", finding.Pipeline, "hash", finding.Hash,
 					"crashes", finding.Crashes, "server", finding.Server, "condemned", finding.Blocked)
@@ -205,6 +232,7 @@
 		Crashes: f.Crashes, Blocked: f.Condemned, Unproven: f.Suspected,
 		Server: f.Server, Incarnation: f.Process, At: now - time.Duration(f.AgeMS)*time.Millisecond,
 	})
+	h.suspects.wake()
 }
 
 // clear clears a request that completed: a popular request is in flight on every server that
