--- a/internal/mirror/assignment_test.go
+++ b/internal/mirror/assignment_test.go
@@ -1,6 +1,8 @@
 package mirror
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -8,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/core/lease"
+	entriesv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/entries/v1"
 )
 
 // dataCentre returns the VMs of a data centre in the order in which they become readers.
@@ -77,3 +80,24 @@
 		g.Expect(count).To(BeNumerically("<=", 110), "second %d", second)
 	}
 }
+
+// Guards against hundreds of VMs that restart together, get no answer of a seed within 0.1 s and
+// read the whole list from the platform at once, again and again: none got it for 18 s.
+func TestRestartedVMAsksSeedsBeforeThePlatform(t *testing.T) {
+	g := NewWithT(t)
+	now, asked := time.Minute, make(map[string]int)
+	f := NewFollower(NewLog(discard{}, func() time.Duration { return now }), Options{
+		Self: "vm-9", MembershipSettled: func() bool { return false }, Seeds: []string{"vm-1", "vm-2", "vm-3"},
+		Now: func() time.Duration { return now },
+		Fetch: func(_ context.Context, vm string, _ *entriesv1.ChangesRequest) (*entriesv1.ChangesResponse, error) {
+			asked[vm]++
+			now += startRetryInterval
+			return nil, errors.New("refused")
+		},
+	})
+	_, ok := f.Next(t.Context(), 0)
+	g.Expect(ok).To(BeFalse(), "it reads the platform in the end")
+	g.Expect(now - time.Minute).To(BeNumerically(">=", startPatience))
+	g.Expect(now - time.Minute).To(BeNumerically("<", 2*startPatience))
+	g.Expect(asked).To(HaveLen(3))
+}
