--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// put replaces the report of a VM or data centre in the sum of all, and in another one if there is
-// one.
+// put replaces the report of a VM or data centre in the sums. also are the sums of this data centre
+// for one of its VMs, and nil for another data centre.
 func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, also *sums) {
 	before := reports[from].tally
 	tally.Loads = quantize(tally.Loads)
@@ -101,25 +101,32 @@
 	return "data-centre/" + r.name
 }
 
+// replace takes a report off the sums and what is known of single servers, and adds another one.
 func (h *Hub) replace(now time.Duration, from reporter, before, after Tally, also *sums) {
-	changed := h.all.replace(before, after)
+	for _, id := range h.all.replace(before, after) {
+		h.log.record(now, id, h.all.loads[id])
+	}
 	if also != nil {
 		also.replace(before, after)
 	}
-	for _, id := range changed {
-		h.log.record(now, id, h.all.loads[id])
-	}
-	key := from.key()
+	h.replaceFull(from.key(), before, after)
+	h.replaceRates(from.key(), before, after)
+}
+
+func (h *Hub) replaceFull(from string, before, after Tally) {
 	for id := range before.Full {
 		if _, still := after.Full[id]; !still {
-			h.full.remove(key, id)
+			h.full.remove(from, id)
 		}
 	}
 	for id, span := range after.Full {
-		h.full.put(key, id, span)
+		h.full.put(from, id, span)
 	}
+}
+
+func (h *Hub) replaceRates(from string, before, after Tally) {
 	for id := range before.Rates {
-		delete(h.rates[id], key)
+		delete(h.rates[id], from)
 		if len(h.rates[id]) == 0 {
 			delete(h.rates, id)
 		}
@@ -128,7 +135,7 @@
 		if h.rates[id] == nil {
 			h.rates[id] = make(map[string]ratelimit.Report)
 		}
-		h.rates[id][key] = rate
+		h.rates[id][from] = rate
 	}
 }
 
--- a/internal/edge/membership.go
+++ b/internal/edge/membership.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"sync"
 
 	"oleandershunt.example/oleandershunt/internal/core/lease"
@@ -93,9 +92,10 @@
 // rankedNames returns the names of the live VMs of this data centre in the order of their
 // rank for a role.
 func (v *membershipView) rankedNames(role, home string) []string {
-	var names []string
-	for _, vm := range v.rankLocal(role, home) {
-		names = append(names, vm.Name)
+	ranked := v.rankLocal(role, home)
+	names := make([]string, len(ranked))
+	for i, vm := range ranked {
+		names[i] = vm.Name
 	}
-	return slices.Clip(names)
+	return names
 }
