--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,11 +11,11 @@
 	"oleandershunt.example/oleandershunt/internal/core/request"
 )
 
-// Capacities of the bounded channels.
-const (
-	eventCapacity  = 4096
-	actionCapacity = 16
-)
+// EventCapacity is how many events a loop queues before Post blocks.
+const EventCapacity = 4096
+
+// actionCapacity is how many actions a request's channel holds.
+const actionCapacity = 16
 
 // Loop runs a core.Machine. Its methods are safe for concurrent use, except where
 // noted otherwise.
@@ -45,7 +45,7 @@
 	return &Loop{
 		machine:      machine,
 		start:        time.Now(),
-		events:       make(chan core.Event, eventCapacity),
+		events:       make(chan core.Event, EventCapacity),
 		ended:        ended,
 		end:          end,
 		inboxes:      make(map[request.ID]chan core.Action),
@@ -120,6 +120,9 @@
 	l.timer.Reset(at - l.Now())
 }
 
+// Queued returns the number of queued events.
+func (l *Loop) Queued() int { return len(l.events) }
+
 // Post queues an event. It blocks while the channel is full, so that backpressure
 // reaches the sockets and no event is dropped. After Run has returned, it discards the
 // event.
