Evaluate crashes also while processes are observed all the time

Cause: since a wake-up began the wait for the next evaluation anew, at least 200 ms of it. Entries of servers that arrive more often than that, while a crash is pending, postponed it for ever: a request that crashes servers would not have been found.

Change: the wait counts from the last evaluation.

--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -81,15 +81,15 @@
 }
 
 // nextEvaluation returns a channel that receives when the next evaluation is due, or nil while
-// nothing is pending.
-func (s *poisonSuspects) nextEvaluation() <-chan time.Time {
+// nothing is pending. last is when crashes were last evaluated.
+func (s *poisonSuspects) nextEvaluation(last time.Duration) <-chan time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	due, pending := s.table.NextDue()
 	if !pending {
 		return nil
 	}
-	return time.After(max(due-bootclock.Now(), evaluateInterval))
+	return time.After(max(due, last+evaluateInterval) - bootclock.Now())
 }
 
 // poisonBody identifies the content of a request, independent of its ID.
@@ -177,10 +177,12 @@
 
 // RunPoisonDetection evaluates crashes until ctx ends.
 func (h *Handler) RunPoisonDetection(ctx context.Context) error {
+	last := bootclock.Now()
 	for {
 		select {
-		case <-h.suspects.changed:
-		case <-h.suspects.nextEvaluation():
+		case <-h.suspects.changed: // the next evaluation may be due earlier
+		case <-h.suspects.nextEvaluation(last):
+			last = bootclock.Now()
 			for _, finding := range h.suspects.evaluate() {
 				telemetry.RelayPoison.Log(h.Log, "account", finding.Account, "path", finding.Pipeline, "hash", finding.Hash,
 					"crashes", finding.Crashes, "server", finding.Server, "condemned", finding.Blocked)
