Reword the whole-fleet change in the terms of the field

Read as a newcomer: Pace was also a server's slowdown, evidence and quiet had to be looked up, the build before is the previous build, and several comments spoke in figures. Behaviour is unchanged.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -80,20 +80,6 @@
 	lastRequest uint64
 }
 
-// Usage is the capacity that requests use on a server.
-type Usage struct {
-	// Memory is in tokens times layers.
-	Memory float64
-	// Running is the number of requests sent to the server itself, as the only server or the first
-	// of their paths. Only those take its slots.
-	Running int
-}
-
-// Add returns the sum of two usages.
-func (u Usage) Add(other Usage) Usage {
-	return Usage{Memory: u.Memory + other.Memory, Running: u.Running + other.Running}
-}
-
 // Fleet is the set of known servers. The zero value is not usable; use New.
 type Fleet struct {
 	servers map[string]*serverState
@@ -152,27 +138,6 @@
 	}
 }
 
-// SetRemoteUsage sets the usage by all other VMs, by server, and the number of VMs that it includes.
-func (f *Fleet) SetRemoteUsage(loads map[string]Usage, vms int) {
-	f.remoteUsage, f.remoteVMs = loads, vms
-}
-
-// UpdateRemoteUsage sets the usage of those servers where it changed, and the number of VMs that
-// the usage of all servers includes.
-func (f *Fleet) UpdateRemoteUsage(changes map[string]Usage, vms int) {
-	if f.remoteUsage == nil {
-		f.remoteUsage = make(map[string]Usage, len(changes))
-	}
-	for id, usage := range changes {
-		if usage == (Usage{}) {
-			delete(f.remoteUsage, id)
-		} else {
-			f.remoteUsage[id] = usage
-		}
-	}
-	f.remoteVMs = vms
-}
-
 // SetLiveVMs sets the number of live VMs, this one included.
 func (f *Fleet) SetLiveVMs(vms int) { f.liveVMs = vms }
 
@@ -189,36 +154,6 @@
 	}
 }
 
-// PublishUsage returns what this VM's requests use, by server, to be published to the other VMs.
-func (f *Fleet) PublishUsage() map[string]Usage {
-	loads := make(map[string]Usage)
-	for id, s := range f.subsets.used {
-		s.publishedUsage = s.localUsage
-		if s.localUsage == (Usage{}) {
-			delete(f.subsets.used, id)
-		} else {
-			loads[id] = s.localUsage
-		}
-	}
-	return loads
-}
-
-// memoryUsed is the memory that requests of all VMs use on a server, as far as this VM knows.
-func (f *Fleet) memoryUsed(s *serverState) float64 {
-	return s.localUsage.Memory + f.remoteUsage[s.ID].Memory
-}
-
-// expectedMemory is memoryUsed plus an estimate of what the other VMs have added since they last
-// published their loads: each is assumed to have added as much as this VM.
-//
-// Hundreds of requests may arrive at about the same time, after a power failure or in a burst.
-// Without the estimate each VM would find the same path the cheapest and see only its own requests,
-// and they would queue there for a second while other paths are idle. VMs that have all just
-// started are not included in remoteUsage yet.
-func (f *Fleet) expectedMemory(s *serverState) float64 {
-	return f.memoryUsed(s) + max(s.localUsage.Memory-s.publishedUsage.Memory, 0)*float64(max(f.remoteVMs, f.liveVMs-1))
-}
-
 // SetPlatformDown records that the platform doesn't answer this VM.
 func (f *Fleet) SetPlatformDown() { f.platformDown = true }
 
@@ -475,46 +410,6 @@
 	return list
 }
 
-// Load is what a running request uses on servers.
-type Load struct {
-	// First is the server that the request was sent to.
-	First string
-	Parts []LoadPart
-}
-
-// LoadPart is the load on one server. Memory is in tokens times layers.
-type LoadPart struct {
-	ID     string
-	Memory float64
-}
-
-// AddLoad adds a request's load to its servers.
-func (f *Fleet) AddLoad(load Load) {
-	f.requestCount++
-	if s, ok := f.servers[load.First]; ok {
-		s.lastRequest = f.requestCount
-	}
-	f.applyLoad(load, 1)
-}
-
-// RemoveLoad removes a request's load from its servers.
-func (f *Fleet) RemoveLoad(load Load) { f.applyLoad(load, -1) }
-
-func (f *Fleet) applyLoad(load Load, sign int) {
-	// The usage never drops below 0: a server that was gone and is back starts at 0, while requests
-	// from before still end.
-	if s, ok := f.servers[load.First]; ok {
-		s.localUsage.Running = max(s.localUsage.Running+sign, 0)
-		f.subsets.used[s.ID] = s
-	}
-	for _, part := range load.Parts {
-		if s, ok := f.servers[part.ID]; ok {
-			s.localUsage.Memory = max(s.localUsage.Memory+float64(sign)*part.Memory, 0)
-			f.subsets.used[s.ID] = s
-		}
-	}
-}
-
 // isEligible reports whether a server may get a new request.
 func (f *Fleet) isEligible(now time.Duration, s *serverState, request Request) bool {
 	if len(request.Allowed) > 0 && !slices.Contains(request.Allowed, s.ID) {
--- a/internal/core/digest/delta.go
+++ b/internal/core/digest/delta.go
@@ -17,10 +17,9 @@
 	gaugeSize     = 8
 )
 
-// quietVersions is the number of versions of a Local stream that Quiet is about. In a
-// data centre of hundreds of VMs a heartbeat takes about twenty rounds to reach the last
-// of them.
-const quietVersions = 32
+// recentWindow is the Window of RecentChanges. In a data centre of hundreds of VMs a
+// heartbeat takes about twenty versions to reach the last VM.
+const recentWindow = 32
 
 // Watermarks returns the watermarks of a stream for all origins of a data centre,
 // sorted by ID.
@@ -36,37 +35,37 @@
 // the same hash can exchange watermarks without IDs.
 func (s *Store) OriginsHash(dataCentre string) uint64 { return s.originHashes[dataCentre] }
 
-// Quiet tells which origins of a data centre changed more in their Local streams than their
-// heartbeats lately.
-type Quiet struct {
-	// Versions is the number of versions that it is about; 0 if nothing is known.
-	Versions uint64
-	// Positions are, in the order of Watermarks, the origins that changed within them, and
-	// Behind how many versions ago each did.
-	Positions, Behind []uint32
+// RecentChanges lists the origins of a data centre whose Local streams had a change other
+// than a heartbeat within the last versions.
+type RecentChanges struct {
+	// Window is the number of versions; 0 if nothing is known.
+	Window uint64
+	// Positions are the origins, as positions in the order of Watermarks, and VersionsAgo
+	// how many versions ago each changed.
+	Positions, VersionsAgo []uint32
 }
 
-// Quiet returns which origins of a data centre changed lately.
-func (s *Store) Quiet(dataCentre string) Quiet {
-	quiet := Quiet{Versions: quietVersions}
+// RecentChanges returns the recent changes of a data centre.
+func (s *Store) RecentChanges(dataCentre string) RecentChanges {
+	recent := RecentChanges{Window: recentWindow}
 	for i, r := range s.sorted[dataCentre] {
-		if r.local.lastChange > 0 && r.local.lastChange+quietVersions > r.local.version {
-			quiet.Positions = append(quiet.Positions, uint32(i))
-			quiet.Behind = append(quiet.Behind, uint32(r.local.version-min(r.local.lastChange, r.local.version)))
+		if r.local.lastChange > 0 && r.local.lastChange+recentWindow > r.local.version {
+			recent.Positions = append(recent.Positions, uint32(i))
+			recent.VersionsAgo = append(recent.VersionsAgo, uint32(r.local.version-min(r.local.lastChange, r.local.version)))
 		}
 	}
-	return quiet
+	return recent
 }
 
-// HeartbeatsBehind returns those of another VM's watermarks that are newer than this store's by
+// NewerHeartbeats returns those of another VM's watermarks that exceed this store's by
 // heartbeats only.
-func (s *Store) HeartbeatsBehind(watermarks []Watermark, quiet Quiet) []Watermark {
-	if len(quiet.Positions) != len(quiet.Behind) {
+func (s *Store) NewerHeartbeats(watermarks []Watermark, recent RecentChanges) []Watermark {
+	if len(recent.Positions) != len(recent.VersionsAgo) {
 		return nil // malformed: the heartbeats come with the deltas
 	}
-	behind := make(map[uint32]uint64, len(quiet.Positions))
-	for i, position := range quiet.Positions {
-		behind[position] = uint64(quiet.Behind[i])
+	versionsAgo := make(map[uint32]uint64, len(recent.Positions))
+	for i, position := range recent.Positions {
+		versionsAgo[position] = uint64(recent.VersionsAgo[i])
 	}
 	var heartbeats []Watermark
 	for i, watermark := range watermarks {
@@ -74,11 +73,11 @@
 		if !known || watermark.Version <= r.local.version {
 			continue
 		}
-		unchanged, recent := behind[uint32(i)]
-		if !recent {
-			unchanged = quiet.Versions
+		unchangedFor, listed := versionsAgo[uint32(i)]
+		if !listed {
+			unchangedFor = recent.Window
 		}
-		if watermark.Version-r.local.version <= unchanged {
+		if watermark.Version-r.local.version <= unchangedFor {
 			heartbeats = append(heartbeats, watermark)
 		}
 	}
--- a/internal/core/digest/digest_test.go
+++ b/internal/core/digest/digest_test.go
@@ -229,7 +229,7 @@
 
 // passDigest applies the heartbeats that one VM's digest tells another.
 func passDigest(from, to *digest.Store) {
-	to.ApplyHeartbeats(to.HeartbeatsBehind(from.Watermarks(here, digest.Local), from.Quiet(here)))
+	to.ApplyHeartbeats(to.NewerHeartbeats(from.Watermarks(here, digest.Local), from.RecentChanges(here)))
 }
 
 func (m *localModel) actions() map[string]func(*rapid.T) {
--- a/internal/core/fleet/partners.go
+++ b/internal/core/fleet/partners.go
@@ -7,18 +7,18 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// maxMesh is the number of other VMs up to which each VM is a partner of all others.
-const maxMesh = 16
+// maxFullMesh is the maximum number of other VMs that are all partners of a VM.
+const maxFullMesh = 16
 
 // Partners selects the VMs that a VM gossips with. In a large data centre they are those
-// at the distances 1, 2, 4, 8 and so on in a ring of all VMs ordered by hash. News reaches
-// n VMs over these links in about log2 n steps, as with targets drawn from all VMs, but
-// each VM keeps connections to log2 n others instead of n.
+// at the distances 1, 2, 4, 8 and so on in a ring of all VMs ordered by hash. A change
+// reaches n VMs over these links in about log2 n rounds, as with targets chosen from all
+// VMs, but a VM keeps connections to log2 n others instead of n.
 //
 // others are the other VMs in any order, without duplicates; they are not modified. The
 // result is sorted by distance.
 func Partners(self string, others []string) []string {
-	if len(others) <= maxMesh {
+	if len(others) <= maxFullMesh {
 		return slices.Clone(others)
 	}
 	ring := make([]rankedVM, 0, len(others)+1)
--- a/internal/core/fleet/partners_test.go
+++ b/internal/core/fleet/partners_test.go
@@ -19,10 +19,10 @@
 	return names
 }
 
-// rumour returns the rounds until all VMs know something that the first one knows, if each
-// exchanges with a random partner in each round. VMs that are down don't answer, and the
-// others don't know that yet.
-func rumour(vms []string, down map[string]bool, random *rand.Rand) (rounds int) {
+// spreadRounds returns the number of rounds until a change on the first VM has reached all VMs, if
+// each exchanges with a random partner in each round. VMs that are down don't answer, and are not
+// yet known to be down.
+func spreadRounds(vms []string, down map[string]bool, random *rand.Rand) (rounds int) {
 	partners := make(map[string][]string)
 	for _, vm := range vms {
 		var others []string
@@ -47,7 +47,7 @@
 
 // Guards against heartbeats that take longer to reach all VMs than the failure detection
 // waits, also while a third of the VMs is down.
-func TestRumourReachesAllPartners(t *testing.T) {
+func TestChangesReachAllVMsBeforeTheyAreSuspected(t *testing.T) {
 	for _, count := range []int{18, 40, 200, 400} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			g := NewWithT(t)
@@ -55,12 +55,12 @@
 			g.Expect(len(fleet.Partners(vms[0], vms[1:]))).To(BeNumerically("<=", bits.Len(uint(count))))
 			suspectRounds := 3 + 2*bits.Len(uint(count-1))
 			for range 5 {
-				g.Expect(rumour(vms, nil, random)).To(BeNumerically("<", suspectRounds))
+				g.Expect(spreadRounds(vms, nil, random)).To(BeNumerically("<", suspectRounds))
 				down := make(map[string]bool)
 				for _, i := range random.Perm(count - 1)[:count/3] {
 					down[vms[i+1]] = true
 				}
-				g.Expect(rumour(vms, down, random)).To(BeNumerically("<", 2*suspectRounds), "a third is down")
+				g.Expect(spreadRounds(vms, down, random)).To(BeNumerically("<", 2*suspectRounds), "a third is down")
 			}
 		})
 	}
--- a/internal/core/fleet/vms.go
+++ b/internal/core/fleet/vms.go
@@ -44,9 +44,9 @@
 	goneFactor                  = 2
 )
 
-// pacedVMsLog2 is the binary logarithm of the number of VMs of a data centre up to which they
-// exchange in each heartbeat interval.
-const pacedVMsLog2 = 7
+// fullRateVMsLog2 is the binary logarithm of the number of VMs from which on a data centre has fewer
+// rounds than heartbeat intervals.
+const fullRateVMsLog2 = 7
 
 type vmRecord struct {
 	status      VMStatus
@@ -69,8 +69,9 @@
 	lastTick time.Duration
 	// local are the VMs of the own data centre, sorted by name.
 	local []*vmRecord
-	// evidence are the VMs of other data centres whose evidence changed since the last Tick.
-	evidence map[string]struct{}
+	// unchecked are the VMs of other data centres about which something was recorded since the
+	// last Tick.
+	unchecked map[string]struct{}
 	// nextRemoteCheck is the earliest time at which a VM of another data centre may have
 	// been silent for RemoteGoneAfter.
 	nextRemoteCheck time.Duration
@@ -84,7 +85,7 @@
 
 // NewVMDetector returns a failure detector that knows no VMs.
 func NewVMDetector(options VMDetectorOptions) *VMDetector {
-	return &VMDetector{options: options, vms: make(map[string]*vmRecord), evidence: make(map[string]struct{}), gone: make(map[string]struct{})}
+	return &VMDetector{options: options, vms: make(map[string]*vmRecord), unchecked: make(map[string]struct{}), gone: make(map[string]struct{})}
 }
 
 // Add adds a process of a VM that is seen for the first time. Evidence against an
@@ -106,8 +107,8 @@
 		i, _ := slices.BinarySearchFunc(v.local, name, compareRecordName)
 		v.local = slices.Insert(v.local, i, vm)
 	}
-	v.addEvidence(name, vm)
-	v.changed()
+	v.scheduleCheck(name, vm)
+	v.recordChange()
 }
 
 // remove removes a VM and reports whether it was known.
@@ -117,12 +118,12 @@
 		return false
 	}
 	delete(v.vms, name)
-	delete(v.evidence, name)
+	delete(v.unchecked, name)
 	v.setGone(vm, false)
 	if i, found := slices.BinarySearchFunc(v.local, name, compareRecordName); found && v.local[i] == vm {
 		v.local = slices.Delete(v.local, i, i+1)
 	}
-	v.changed()
+	v.recordChange()
 	return true
 }
 
@@ -132,21 +133,21 @@
 	return vm.status.DataCentre == v.options.DataCentre
 }
 
-// changed records that the set of VMs or a state changed.
-func (v *VMDetector) changed() {
+// recordChange records that the set of VMs or a state changed.
+func (v *VMDetector) recordChange() {
 	v.statuses = nil
 	v.version++
 }
 
-// Version returns a number that changes only when a VM is added or removed or its state
-// changes. What is derived from Statuses can be kept until then.
+// Version returns a number that changes when a VM is added or removed or its state changes.
+// Results derived from Statuses can be cached until then.
 func (v *VMDetector) Version() uint64 { return v.version }
 
-// addEvidence marks a VM for the next Tick. VMs of the own data centre are checked by
+// scheduleCheck marks a VM for the next Tick. VMs of the own data centre are checked by
 // every Tick.
-func (v *VMDetector) addEvidence(name string, vm *vmRecord) {
+func (v *VMDetector) scheduleCheck(name string, vm *vmRecord) {
 	if !v.isLocal(vm) {
-		v.evidence[name] = struct{}{}
+		v.unchecked[name] = struct{}{}
 	}
 }
 
@@ -156,7 +157,7 @@
 		vm.lastContact = now
 		if vm.refused || vm.unanswered || vm.status.State == Gone {
 			vm.refused, vm.unanswered = false, false
-			v.addEvidence(name, vm)
+			v.scheduleCheck(name, vm)
 		}
 	}
 }
@@ -166,7 +167,7 @@
 func (v *VMDetector) ConnectionRefused(name string) {
 	if vm, ok := v.vms[name]; ok {
 		vm.refused = true
-		v.addEvidence(name, vm)
+		v.scheduleCheck(name, vm)
 	}
 }
 
@@ -174,7 +175,7 @@
 func (v *VMDetector) CallTimedOut(name string) {
 	if vm, ok := v.vms[name]; ok {
 		vm.unanswered = true
-		v.addEvidence(name, vm)
+		v.scheduleCheck(name, vm)
 	}
 }
 
@@ -189,7 +190,7 @@
 func (v *VMDetector) SetLeaving(name string, leaving, left bool) {
 	if vm, ok := v.vms[name]; ok && (vm.leaving != leaving || vm.left != left) {
 		vm.leaving, vm.left = leaving, left
-		v.addEvidence(name, vm)
+		v.scheduleCheck(name, vm)
 	}
 }
 
@@ -204,14 +205,14 @@
 	} else {
 		delete(vm.reportedDownBy, witness)
 	}
-	v.addEvidence(name, vm)
+	v.scheduleCheck(name, vm)
 }
 
 // Tick updates the states and returns those that changed, sorted by name. If the
 // tick itself is late, this VM was paused and missed the heartbeats of the others,
 // so their timeouts restart.
 func (v *VMDetector) Tick(now time.Duration) []VMStatus {
-	if late := now - v.lastTick; v.lastTick != 0 && late > time.Duration(v.Pace())*v.options.PausedAfter {
+	if late := now - v.lastTick; v.lastTick != 0 && late > time.Duration(v.IntervalsPerRound())*v.options.PausedAfter {
 		for _, vm := range v.vms {
 			vm.lastContact = now
 		}
@@ -223,13 +224,13 @@
 	for _, vm := range v.due(now) {
 		state := v.evaluate(now, vm, localSuspectAfter)
 		if (vm.refused || vm.unanswered) && silentFor(now, vm) < localSuspectAfter {
-			v.addEvidence(vm.status.Name, vm) // it counts for more once the VM was silent for long enough
+			v.scheduleCheck(vm.status.Name, vm) // its state also depends on how long it has been silent
 		}
 		if state == vm.status.State {
 			continue
 		}
 		vm.status.State, vm.status.Since = state, now
-		v.changed()
+		v.recordChange()
 		changed = append(changed, vm.status)
 		v.setGone(vm, state == Gone)
 		if state == Gone {
@@ -261,20 +262,20 @@
 	if now >= v.nextRemoteCheck {
 		v.nextRemoteCheck = now + v.options.RemoteGoneAfter
 		for name, vm := range v.vms {
-			v.addEvidence(name, vm)
+			v.scheduleCheck(name, vm)
 			if vm.status.State != Gone && !v.isLocal(vm) {
 				v.nextRemoteCheck = min(v.nextRemoteCheck, max(vm.lastContact+v.options.RemoteGoneAfter, now+1))
 			}
 		}
 	}
-	if len(v.evidence) == 0 {
+	if len(v.unchecked) == 0 {
 		return v.local
 	}
 	due := slices.Clone(v.local)
-	for name := range v.evidence {
+	for name := range v.unchecked {
 		due = append(due, v.vms[name])
 	}
-	clear(v.evidence)
+	clear(v.unchecked)
 	slices.SortFunc(due, func(a, b *vmRecord) int { return cmp.Compare(a.status.Name, b.status.Name) })
 	return due
 }
@@ -285,7 +286,7 @@
 	for reported, vm := range v.vms {
 		if _, ok := vm.reportedDownBy[name]; ok {
 			delete(vm.reportedDownBy, name)
-			v.addEvidence(reported, vm)
+			v.scheduleCheck(reported, vm)
 		}
 	}
 }
@@ -295,18 +296,18 @@
 func (v *VMDetector) evaluate(now time.Duration, vm *vmRecord, localSuspectAfter time.Duration) State {
 	silence := silentFor(now, vm)
 	suspectAfter, goneAfter, downReports := localSuspectAfter, goneFactor*localSuspectAfter, len(vm.reportedDownBy)
-	doubtful := silence >= localSuspectAfter/2
+	overdue := silence >= localSuspectAfter/2
 	if !v.isLocal(vm) {
 		// Heartbeats don't cross data centres, so the reports of VMs there count.
 		suspectAfter, goneAfter = v.options.RemoteGoneAfter, v.options.RemoteGoneAfter
-	} else if !doubtful || v.Pace() == 1 {
-		downReports = 0 // heartbeats are newer, or come often enough
+	} else if !overdue || v.IntervalsPerRound() == 1 {
+		downReports = 0 // its heartbeats are newer, or frequent enough without reports
 	}
 	refused := vm.refused && silence >= localSuspectAfter
 	switch {
 	case vm.left, silence >= goneAfter, refused, downReports >= 2:
 		return Gone
-	case silence >= suspectAfter, vm.refused, downReports > 0, v.isLocal(vm) && vm.unanswered && doubtful:
+	case silence >= suspectAfter, vm.refused, downReports > 0, v.isLocal(vm) && vm.unanswered && overdue:
 		return Suspect
 	case vm.leaving:
 		return Leaving
@@ -318,17 +319,19 @@
 // suspectAfter is the heartbeat timeout after which a VM of this data centre becomes
 // Suspect.
 func (v *VMDetector) suspectAfter() time.Duration {
-	intervals := (suspectBaseIntervals + suspectIntervalsPerDoubling*bits.Len(uint(v.localVMs()))) * v.Pace()
+	intervals := (suspectBaseIntervals + suspectIntervalsPerDoubling*bits.Len(uint(v.localVMs()))) * v.IntervalsPerRound()
 	return time.Duration(intervals) * v.options.HeartbeatInterval
 }
 
 // localVMs returns the number of other VMs of this data centre that are not gone.
 func (v *VMDetector) localVMs() int { return len(v.local) - v.localGone }
 
-// Pace returns the number of heartbeat intervals between two exchanges of a VM. What an
-// exchange costs grows with the VMs of the data centre, so large ones have fewer of them; that
-// a VM is gone is known about as soon, by the reports of its partners.
-func (v *VMDetector) Pace() int { return max(1, bits.Len(uint(v.localVMs()))-pacedVMsLog2+1) }
+// IntervalsPerRound returns the number of heartbeat intervals between two rounds of a VM. The
+// cost of a round grows with the VMs of the data centre, so large data centres have fewer
+// rounds. The reports of a VM's partners keep the failure detection as fast.
+func (v *VMDetector) IntervalsPerRound() int {
+	return max(1, bits.Len(uint(v.localVMs()))-fullRateVMsLog2+1)
+}
 
 // RemoveExpired removes the VMs that have been Gone for at least ForgetAfter, and
 // returns their names.
--- a/internal/core/fleet/vms_test.go
+++ b/internal/core/fleet/vms_test.go
@@ -69,7 +69,7 @@
 }
 
 // Contacts, refusals, reports, pauses and silence in any order: checking only the VMs whose
-// evidence changed must give the same states, one tick later at most, as checking all VMs.
+// records changed must give the same states, one tick later at most, as checking all VMs.
 func TestTickChecksAllVMsWhoseStateChanges(t *testing.T) {
 	options := VMDetectorOptions{Self: "vm-0", DataCentre: "a", HeartbeatInterval: time.Second, RemoteGoneAfter: time.Minute, ForgetAfter: 3 * time.Minute, PausedAfter: 3 * time.Second}
 	rapid.Check(t, func(t *rapid.T) {
@@ -84,7 +84,7 @@
 	})
 }
 
-// largeDataCentre returns the detector of one of 200 VMs that all have just been heard of.
+// largeDataCentre returns the detector of one of 200 VMs, all of which have just been in contact.
 func largeDataCentre(now time.Duration) *VMDetector {
 	v := NewVMDetector(VMDetectorOptions{Self: "vm-0", DataCentre: "a", HeartbeatInterval: time.Second, RemoteGoneAfter: time.Hour, ForgetAfter: time.Hour, PausedAfter: 3 * time.Second})
 	for i := range 200 {
@@ -99,8 +99,8 @@
 func TestReportsOfPartnersReplaceSilenceInALargeDataCentre(t *testing.T) {
 	now := time.Minute
 	v := largeDataCentre(now)
-	if v.Pace() != 2 {
-		t.Fatalf("pace %d", v.Pace())
+	if v.IntervalsPerRound() != 2 {
+		t.Fatalf("%d intervals per round", v.IntervalsPerRound())
 	}
 	half := v.suspectAfter() / 2
 	v.SetDownReport("vm-1", "vm-9", true)
@@ -129,17 +129,17 @@
 	}
 }
 
-func TestPaceFollowsTheVMsOfTheDataCentre(t *testing.T) {
+func TestLargeDataCentresHaveFewerRounds(t *testing.T) {
 	v := NewVMDetector(VMDetectorOptions{Self: "vm-0", DataCentre: "a"})
-	paces := make(map[int]int)
+	intervals := make(map[int]int)
 	for i := 1; i <= 600; i++ {
 		v.Add(0, fmt.Sprint("vm-", i), "a")
 		v.Add(0, fmt.Sprint("far-", i), "b")
-		paces[i] = v.Pace()
+		intervals[i] = v.IntervalsPerRound()
 	}
-	for vms, pace := range map[int]int{1: 1, 127: 1, 128: 2, 255: 2, 256: 3, 512: 4} {
-		if paces[vms] != pace {
-			t.Fatalf("%d VMs: pace %d, expected %d", vms, paces[vms], pace)
+	for vms, expected := range map[int]int{1: 1, 127: 1, 128: 2, 255: 2, 256: 3, 512: 4} {
+		if intervals[vms] != expected {
+			t.Fatalf("%d VMs: %d intervals per round, expected %d", vms, intervals[vms], expected)
 		}
 	}
 }
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -228,9 +228,9 @@
 	}
 }
 
-// Known is what a VM has of a hub's loads.
-type Known struct {
-	// Epoch is the hub's, and 0 for nothing.
+// LoadVersions are the versions of a hub's loads that a VM has.
+type LoadVersions struct {
+	// Epoch identifies the hub; 0 if the VM has no loads.
 	Epoch uint64
 	// Local and Elsewhere are the versions of the loads of servers in the hub's data centre and of
 	// the others.
@@ -255,12 +255,12 @@
 	// Elsewhere is set if the loads include those of servers in other data centres.
 	Elsewhere bool
 	// Known is what the VM has after the update.
-	Known Known
+	Known LoadVersions
 }
 
 // Update returns what changed for a VM since its last update. elsewhere includes the servers of other
 // data centres.
-func (h *Hub) Update(now time.Duration, vm string, known Known, elsewhere bool) Update {
+func (h *Hub) Update(now time.Duration, vm string, known LoadVersions, elsewhere bool) Update {
 	update := Update{Others: h.withoutLoads(now, vm)}
 	update.Loads, update.Complete, update.Known = h.log.since(known, elsewhere)
 	update.Elsewhere = elsewhere || update.Complete
--- a/internal/core/tally/loadlog.go
+++ b/internal/core/tally/loadlog.go
@@ -105,12 +105,12 @@
 
 // since returns the loads that changed since the versions that a VM has, or all loads if it has none
 // of this log, and what the VM has then.
-func (l *loadLog) since(known Known, elsewhere bool) (loads []ServerLoad, complete bool, now Known) {
+func (l *loadLog) since(known LoadVersions, elsewhere bool) (loads []ServerLoad, complete bool, now LoadVersions) {
 	complete = known.Epoch != l.epoch || min(known.Local, known.Elsewhere) < l.floor || max(known.Local, known.Elsewhere) > l.version
 	if complete {
-		known = Known{}
+		known = LoadVersions{}
 	}
-	now = Known{Epoch: l.epoch, Local: l.version, Elsewhere: known.Elsewhere}
+	now = LoadVersions{Epoch: l.epoch, Local: l.version, Elsewhere: known.Elsewhere}
 	loads = changedSince(l.local, known.Local, nil)
 	if elsewhere || complete {
 		loads = changedSince(l.elsewhere, known.Elsewhere, loads)
--- a/internal/core/tally/update_test.go
+++ b/internal/core/tally/update_test.go
@@ -35,7 +35,7 @@
 				}
 				hub.Report(0, fmt.Sprint("vm-", i), reports[i])
 			}
-			first := hub.Update(0, "vm-0", tally.Known{}, true)
+			first := hub.Update(0, "vm-0", tally.LoadVersions{}, true)
 			g.Expect(first.Complete).To(BeTrue())
 			for i := range reports {
 				hub.Report(time.Millisecond, fmt.Sprint("vm-", i), reports[i])
@@ -134,18 +134,18 @@
 func TestChangesOfAnotherHubAreNotApplied(t *testing.T) {
 	g := NewWithT(t)
 	view := tally.NewView(anyServer)
-	view.Apply(tally.Update{Complete: true, Loads: []tally.ServerLoad{{ID: "s1", Usage: backends.Usage{Running: 3}}}, Known: tally.Known{Epoch: 1, Local: 1}}, nil)
-	others := view.Apply(tally.Update{Loads: []tally.ServerLoad{{ID: "s1", Usage: backends.Usage{Running: 9}}}, Known: tally.Known{Epoch: 2, Local: 5}}, nil)
+	view.Apply(tally.Update{Complete: true, Loads: []tally.ServerLoad{{ID: "s1", Usage: backends.Usage{Running: 3}}}, Known: tally.LoadVersions{Epoch: 1, Local: 1}}, nil)
+	others := view.Apply(tally.Update{Loads: []tally.ServerLoad{{ID: "s1", Usage: backends.Usage{Running: 9}}}, Known: tally.LoadVersions{Epoch: 2, Local: 5}}, nil)
 	g.Expect(others.Partial).To(BeTrue())
 	g.Expect(others.Loads).To(BeEmpty())
-	g.Expect(view.Known()).To(Equal(tally.Known{}), "the next update is complete")
+	g.Expect(view.Known()).To(Equal(tally.LoadVersions{}), "the next update is complete")
 }
 
 // Guards against a log that keeps each server that ever had load.
 func TestServersWithoutLoadAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	hub := tally.NewHub("a", 1, anyServer)
-	known := hub.Update(0, "vm-0", tally.Known{}, true).Known
+	known := hub.Update(0, "vm-0", tally.LoadVersions{}, true).Known
 	for i := range 1000 {
 		hub.Report(time.Duration(i)*100*time.Millisecond, "vm-1", tally.Tally{VMs: 1, Loads: map[string]backends.Usage{fmt.Sprint("s", i): {Running: 1}}})
 	}
@@ -164,7 +164,7 @@
 		hub.ReportRemote(0, "b", tally.Tally{VMs: 1, Loads: map[string]backends.Usage{"near": usage, "far": usage}})
 	}
 	report(100, 8)
-	known := hub.Update(0, "vm-1", tally.Known{}, true).Known
+	known := hub.Update(0, "vm-1", tally.LoadVersions{}, true).Known
 	changed := func() (ids []string) {
 		update := hub.Update(0, "vm-1", known, true)
 		known = update.Known
--- a/internal/core/tally/view.go
+++ b/internal/core/tally/view.go
@@ -5,7 +5,7 @@
 // View is what a VM knows of the loads of all VMs by the updates of its hub.
 type View struct {
 	isLocal func(server string) bool
-	known   Known
+	known   LoadVersions
 	// totals are the loads of all VMs, and included those of this VM in them.
 	totals, included map[string]backends.Usage
 }
@@ -19,11 +19,11 @@
 }
 
 // Known returns what the hub's next update may leave out.
-func (v *View) Known() Known { return v.known }
+func (v *View) Known() LoadVersions { return v.known }
 
 // Reset forgets all loads.
 func (v *View) Reset() {
-	v.known = Known{}
+	v.known = LoadVersions{}
 	v.totals, v.included = make(map[string]backends.Usage), make(map[string]backends.Usage)
 }
 
@@ -36,7 +36,7 @@
 	if update.Complete {
 		v.Reset()
 	} else if update.Known.Epoch != v.known.Epoch {
-		v.known = Known{}
+		v.known = LoadVersions{}
 		return others
 	}
 	for _, load := range update.Loads {
--- a/internal/edge/hub_test.go
+++ b/internal/edge/hub_test.go
@@ -31,6 +31,6 @@
 	exchanger.recordReport(3*time.Second, "vm-1", true)
 	g.Expect(hub(3 * time.Second)).To(Equal("vm-1"))
 	g.Expect(exchanger.chooseHub(0, ranked[2:])).To(BeEmpty())
-	g.Expect(speaksForDataCentre(ranked, "vm-1")).To(BeTrue())
-	g.Expect(speaksForDataCentre(ranked, "vm-2")).To(BeFalse(), "its sum may have no more than its own loads")
+	g.Expect(isRankedHub(ranked, "vm-1")).To(BeTrue())
+	g.Expect(isRankedHub(ranked, "vm-2")).To(BeFalse(), "its sum may have no more than its own loads")
 }
--- a/internal/edge/membership.go
+++ b/internal/edge/membership.go
@@ -8,9 +8,9 @@
 	"oleandershunt.example/oleandershunt/internal/peer/gossip"
 )
 
-// membershipCache holds the live VMs and their ranks until the membership changes. They
-// are used some twenty times a second, and ranking hundreds of VMs each time took a
-// small VM longer than all its requests. It is safe for concurrent use.
+// membershipCache caches the live VMs and their ranks until the membership changes. Several
+// periodic tasks use them, and ranking hundreds of VMs each time would take a small VM more
+// processor time than its requests. It is safe for concurrent use.
 type membershipCache struct {
 	gossip     *gossip.Gossip
 	directory  *peer.Directory
--- a/internal/edge/messages_test.go
+++ b/internal/edge/messages_test.go
@@ -18,24 +18,24 @@
 	"oleandershunt.example/oleandershunt/internal/testutil"
 )
 
-// hubOfTheBuildBefore answers with a message that a process of the build before wrote.
-type hubOfTheBuildBefore struct {
+// previousBuildHub answers with a message that a process of the previous build wrote.
+type previousBuildHub struct {
 	tallyv1connect.UnimplementedTallyServiceHandler
 	response *tallyv1.TellResponse
 	request  *tallyv1.TellRequest
 }
 
-func (h *hubOfTheBuildBefore) Tell(_ context.Context, request *connect.Request[tallyv1.TellRequest]) (*connect.Response[tallyv1.TellResponse], error) {
+func (h *previousBuildHub) Tell(_ context.Context, request *connect.Request[tallyv1.TellRequest]) (*connect.Response[tallyv1.TellResponse], error) {
 	h.request = request.Msg
 	return connect.NewResponse(h.response), nil
 }
 
-// The files hold messages of the build before: 3 units and 2 requests on s1. Guards against loads
+// The files hold messages of the previous build: 3 units and 2 requests on s1. Guards against loads
 // that are taken off twice, or not at all, while an operator replaces the VMs.
-func TestMessagesOfTheBuildBeforeAreRead(t *testing.T) {
+func TestMessagesOfThePreviousBuildAreRead(t *testing.T) {
 	g := NewWithT(t)
-	old := &hubOfTheBuildBefore{response: new(tallyv1.TellResponse)}
-	testutil.ReadMessage(t, "testdata/build-before/tally-response.hex", old.response)
+	old := &previousBuildHub{response: new(tallyv1.TellResponse)}
+	testutil.ReadMessage(t, "testdata/previous-build/tally-response.hex", old.response)
 	server := peer.NewServer(peer.Identity{Name: "vm-old", Deployment: deployment}, nil, func(string, string, error) {})
 	server.Handle(tallyv1connect.NewTallyServiceHandler(old))
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -59,8 +59,8 @@
 	g.Expect(decodeTally(old.request.Tally, 0).Loads).To(Equal(own.Loads), "in the fields that it reads")
 
 	var request, sum tallyv1.TellRequest
-	testutil.ReadMessage(t, "testdata/build-before/tally-request.hex", &request)
-	testutil.ReadMessage(t, "testdata/build-before/tally-sum.hex", &sum)
+	testutil.ReadMessage(t, "testdata/previous-build/tally-request.hex", &request)
+	testutil.ReadMessage(t, "testdata/previous-build/tally-sum.hex", &sum)
 	vm.answer(time.Second, &sum, decodeTally(sum.Tally, time.Second))
 	answer := decodeTally(vm.answer(time.Second, &request, decodeTally(request.Tally, time.Second)).Tally, time.Second)
 	g.Expect(answer.Loads).To(Equal(map[string]backends.Usage{"s1": load}), "without its own")
--- a/internal/mirror/assignment_test.go
+++ b/internal/mirror/assignment_test.go
@@ -97,7 +97,7 @@
 	})
 	_, ok := f.Next(t.Context(), 0)
 	g.Expect(ok).To(BeFalse(), "it reads the platform in the end")
-	g.Expect(now - time.Minute).To(BeNumerically(">=", startPatience))
-	g.Expect(now - time.Minute).To(BeNumerically("<", 2*startPatience))
+	g.Expect(now - time.Minute).To(BeNumerically(">=", seedsOnlyTime))
+	g.Expect(now - time.Minute).To(BeNumerically("<", 2*seedsOnlyTime))
 	g.Expect(asked).To(HaveLen(3))
 }
--- a/internal/mirror/messages_test.go
+++ b/internal/mirror/messages_test.go
@@ -12,12 +12,12 @@
 	"oleandershunt.example/oleandershunt/internal/testutil"
 )
 
-// The files hold messages that a process of the build before wrote. Guards against VMs of the two
+// The files hold messages that a process of the previous build wrote. Guards against VMs of the two
 // builds that can't learn the entries from one another while an operator replaces them.
-func TestMessagesOfTheBuildBeforeAreRead(t *testing.T) {
+func TestMessagesOfThePreviousBuildAreRead(t *testing.T) {
 	g := NewWithT(t)
 	var response entriesv1.ChangesResponse
-	testutil.ReadMessage(t, "testdata/build-before/entries-response.hex", &response)
+	testutil.ReadMessage(t, "testdata/previous-build/entries-response.hex", &response)
 	page, proof, ok := decode("servers", &response, time.Hour)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(page.IsSnapshot).To(BeTrue())
@@ -28,7 +28,7 @@
 	g.Expect(proof.VerifiedAt).To(Equal(time.Hour - time.Second))
 
 	var request entriesv1.ChangesRequest
-	testutil.ReadMessage(t, "testdata/build-before/entries-request.hex", &request)
+	testutil.ReadMessage(t, "testdata/previous-build/entries-request.hex", &request)
 	log := NewLog(discard{}, func() time.Duration { return time.Minute })
 	g.Expect(log.HandleList(platform.List{Version: 4, Items: []platform.Object{{Name: "s1", Version: 4}}})).To(Succeed())
 	log.recordPlatformAnswer()
--- a/internal/mirror/packed.go
+++ b/internal/mirror/packed.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// repackAfter is the number of changes, as a divisor of the number of objects, after
-	// which a snapshot is packed anew instead of being sent with the changes since.
+	// repackAfter: a snapshot is packed again once there are more changes since than the
+	// number of objects divided by repackAfter.
 	repackAfter = 8
 	// maxSnapshotBytes bounds an unpacked snapshot: some 200,000 entries.
 	maxSnapshotBytes = 64 << 20
@@ -27,9 +27,9 @@
 // errSnapshotTooLarge is returned for a snapshot beyond maxSnapshotBytes.
 var errSnapshotTooLarge = eris.New("packed snapshot exceeds 64 MB: the VM that sent it is faulty, or the deployment has too many servers")
 
-// packedSnapshot is a compressed copy of all objects that is sent to many VMs. When
-// hundreds of VMs start together, encoding and compressing thousands of entries for each
-// of them takes the VM that serves them seconds.
+// packedSnapshot is an encoded and compressed copy of all objects. It is made once and sent to
+// many VMs: when hundreds of them start together, encoding and compressing thousands of objects
+// for each of them would take seconds of processor time.
 type packedSnapshot struct {
 	// mu is held while a snapshot is packed, so that it is packed once.
 	mu      sync.Mutex
@@ -76,7 +76,6 @@
 		return nil, eris.Wrap(err, "encoding a snapshot")
 	}
 	var packed bytes.Buffer
-	// A faster level makes a snapshot an eighth larger and takes a fifth of the time.
 	writer, err := gzip.NewWriterLevel(&packed, gzip.BestSpeed)
 	if err != nil {
 		return nil, eris.Wrap(err, "compressing a snapshot")
--- a/internal/peer/gossip/builds_test.go
+++ b/internal/peer/gossip/builds_test.go
@@ -17,17 +17,17 @@
 	membershipv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/membership/v1"
 )
 
-// stripped removes from a message what the build before doesn't know and therefore neither
+// stripped removes from a message what the previous build doesn't know and therefore neither
 // sends nor reads.
 func stripped(message *membershipv1.Message) {
 	for _, d := range message.GetDigests() {
-		d.Quiet, d.Recent, d.RecentBehind = 0, nil, nil
+		d.RecentWindow, d.Recent, d.RecentVersionsAgo = 0, nil, nil
 	}
 }
 
-// asBuildBefore lets a VM exchange messages like one of the build before with all VMs for
+// asPreviousBuild lets a VM exchange messages like one of the previous build with all VMs for
 // which before returns true, or with all VMs if it is one itself.
-func asBuildBefore(t *testing.T, self bool, before func(vm string) bool, next http.Handler) http.Handler {
+func asPreviousBuild(t *testing.T, self bool, before func(vm string) bool, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !self && !before(r.Header.Get(peer.HeaderFrom)) {
 			next.ServeHTTP(w, r)
@@ -65,12 +65,12 @@
 	})
 }
 
-// An operator replaces the VMs one after the other: half of them are of the build before. No VM
+// An operator replaces the VMs one after the other: half of them are of the previous build. No VM
 // may miss news or suspect another one.
 func TestVMsOfTwoBuildsExchange(t *testing.T) {
 	c := newCluster(t)
 	before := func(vm string) bool { return len(vm) > 0 && vm[len(vm)-1]%2 == 0 }
-	c.wrap = func(v *vm, next http.Handler) http.Handler { return asBuildBefore(t, before(v.name), before, next) }
+	c.wrap = func(v *vm, next http.Handler) http.Handler { return asPreviousBuild(t, before(v.name), before, next) }
 	for i := range 10 {
 		c.start("vm-"+strconv.Itoa(i), "bornova", 1, c.vms[:min(i, 3)]...)
 	}
--- a/internal/peer/gossip/messages_test.go
+++ b/internal/peer/gossip/messages_test.go
@@ -12,10 +12,10 @@
 	"oleandershunt.example/oleandershunt/internal/testutil"
 )
 
-// The files hold messages that a process of the build before wrote: a VM with a gauge, an entry
+// The files hold messages that a process of the previous build wrote: a VM with a gauge, an entry
 // and five heartbeats. Guards against a change of the messages by which VMs of the two builds
 // lose one another while an operator replaces them.
-func TestMessagesOfTheBuildBeforeAreRead(t *testing.T) {
+func TestMessagesOfThePreviousBuildAreRead(t *testing.T) {
 	g := NewWithT(t)
 	directory := peer.NewDirectory()
 	one := New(Options{
@@ -26,7 +26,7 @@
 	messages := make(map[string]*membershipv1.Message)
 	for _, name := range []string{"first", "reply", "deltas"} {
 		messages[name] = new(membershipv1.Message)
-		testutil.ReadMessage(t, "testdata/build-before/gossip-"+name+".hex", messages[name])
+		testutil.ReadMessage(t, "testdata/previous-build/gossip-"+name+".hex", messages[name])
 	}
 	reply := one.handleMessage("vm-old", messages["first"])
 	g.Expect(reply.GetDigests()).NotTo(BeEmpty(), "it asks for what it lacks")
--- a/internal/peer/gossip/scale_test.go
+++ b/internal/peer/gossip/scale_test.go
@@ -10,7 +10,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/digest"
 )
 
-// largeDataCentre starts so many VMs of one data centre together that know one another.
+// largeDataCentre starts VMs of one data centre together and waits until they know one another.
 func largeDataCentre(t *testing.T, vms int) *cluster {
 	c := newCluster(t)
 	for i := range vms {
@@ -23,7 +23,7 @@
 	return c
 }
 
-// calls returns the calls that each VM answered in some rounds.
+// callsIn returns the number of calls that each VM answered in some rounds.
 func (c *cluster) callsIn(rounds int) []int64 {
 	before := make([]int64, len(c.vms))
 	for i, v := range c.vms {
@@ -37,9 +37,9 @@
 	return calls
 }
 
-// Guards against a second call in each round that only brings heartbeats back: half of all
-// that idle VMs do.
-func TestQuietRoundTakesOneCall(t *testing.T) {
+// Guards against a second call in each round that returns nothing but heartbeats, which would be
+// half of all calls between idle VMs.
+func TestIdleRoundTakesOneCall(t *testing.T) {
 	const vms, rounds = 24, 40
 	c := largeDataCentre(t, vms)
 	total := int64(0)
