Keep the newest rate of each server in the hub

Cause: for each answer the hub went through the reports of all VMs on the rates of servers, so its work grew with the VMs times the servers that state a rate, per answer. Change: the hub keeps the newest report of each server, as it keeps the longest time for which a server counts as full. A report that leaves, or gets older, ranks that one server's reports again.

--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -33,7 +33,7 @@
 	log loadLog
 	// full and rates are what VMs and data centres report of single servers.
 	full  fullServers
-	rates map[string]map[string]ratelimit.Report
+	rates rateReports
 	// nextExpiry is the earliest time at which a part of a report may expire.
 	nextExpiry time.Duration
 }
@@ -60,7 +60,7 @@
 	return &Hub{
 		dataCentre: dataCentre, vms: make(map[string]report), remote: make(map[string]report),
 		local: newSums(), all: newSums(), log: newLoadLog(epoch, isLocal),
-		full: make(fullServers), rates: make(map[string]map[string]ratelimit.Report),
+		full: make(fullServers), rates: make(rateReports),
 	}
 }
 
@@ -126,16 +126,12 @@
 
 func (h *Hub) replaceRates(from string, before, after Tally) {
 	for id := range before.Rates {
-		delete(h.rates[id], from)
-		if len(h.rates[id]) == 0 {
-			delete(h.rates, id)
+		if _, still := after.Rates[id]; !still {
+			h.rates.remove(from, id)
 		}
 	}
 	for id, rate := range after.Rates {
-		if h.rates[id] == nil {
-			h.rates[id] = make(map[string]ratelimit.Report)
-		}
-		h.rates[id][from] = rate
+		h.rates.put(from, id, rate)
 	}
 }
 
@@ -179,7 +175,9 @@
 			sum.Full[id] = max(sum.Full[id], span)
 		}
 		for id, rate := range r.tally.Rates {
-			mergeRate(sum.Rates, id, rate)
+			if known, ok := sum.Rates[id]; !ok || rate.ObservedAt > known.ObservedAt {
+				sum.Rates[id] = rate
+			}
 		}
 	}
 	return sum
@@ -205,7 +203,9 @@
 	own := h.vms[vm].tally
 	sum := Tally{
 		VMs: h.all.vms - own.VMs, Counts: make(map[string]budget.Count),
-		Full: h.full.except(reporter{vm, true}.key()), Rates: make(map[string]ratelimit.Report),
+		Full: h.full.except(reporter{vm, true}.key()),
+		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
+		Rates: h.rates.newest(),
 	}
 	for service, count := range h.all.counts {
 		rest := budget.Count{Requests: count.Requests - own.Counts[service].Requests, Retries: count.Retries - own.Counts[service].Retries}
@@ -213,21 +213,9 @@
 			sum.Counts[service] = rest
 		}
 	}
-	// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
-	for id, reports := range h.rates {
-		for _, rate := range reports {
-			mergeRate(sum.Rates, id, rate)
-		}
-	}
 	return sum
 }
 
-func mergeRate(rates map[string]ratelimit.Report, id string, rate ratelimit.Report) {
-	if known, ok := rates[id]; !ok || rate.ObservedAt > known.ObservedAt {
-		rates[id] = rate
-	}
-}
-
 // LoadVersions are the versions of a hub's loads that a VM has.
 type LoadVersions struct {
 	// Epoch identifies the hub; 0 if the VM has no loads.
--- a/internal/core/tally/sums.go
+++ b/internal/core/tally/sums.go
@@ -5,6 +5,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
 // sums are running sums of reports.
@@ -121,3 +122,57 @@
 	}
 	return full
 }
+
+// rateReports are the reports of VMs and data centres on the request rates of servers, by server.
+type rateReports map[string]*serverRate
+
+// serverRate is the reports on one server, by reporter, and the newest of them with its reporter.
+type serverRate struct {
+	by     map[string]ratelimit.Report
+	newest ratelimit.Report
+	from   string
+}
+
+func (r rateReports) put(from, id string, report ratelimit.Report) {
+	rate, ok := r[id]
+	if !ok {
+		rate = &serverRate{by: make(map[string]ratelimit.Report)}
+		r[id] = rate
+	}
+	rate.by[from] = report
+	if rate.from == from && report.ObservedAt < rate.newest.ObservedAt {
+		rate.findNewest()
+	} else if rate.from == "" || report.ObservedAt >= rate.newest.ObservedAt {
+		rate.newest, rate.from = report, from
+	}
+}
+
+func (r rateReports) remove(from, id string) {
+	rate, ok := r[id]
+	if !ok {
+		return
+	}
+	if delete(rate.by, from); len(rate.by) == 0 {
+		delete(r, id)
+	} else if rate.from == from {
+		rate.findNewest()
+	}
+}
+
+func (r *serverRate) findNewest() {
+	r.from = ""
+	for from, report := range r.by {
+		if r.from == "" || report.ObservedAt > r.newest.ObservedAt {
+			r.newest, r.from = report, from
+		}
+	}
+}
+
+// newest returns the newest report of each server.
+func (r rateReports) newest() map[string]ratelimit.Report {
+	rates := make(map[string]ratelimit.Report, len(r))
+	for id, rate := range r {
+		rates[id] = rate.newest
+	}
+	return rates
+}
