--- a/internal/core/digest/digest_test.go
+++ b/internal/core/digest/digest_test.go
@@ -1,7 +1,6 @@
 package digest_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"slices"
@@ -13,9 +12,6 @@
 	"oleandershunt.example/oleandershunt/internal/core/digest"
 )
 
-// A fixed seed makes runs reproducible; -rapid.seed on the command line overrides it.
-func init() { _ = flag.Set("rapid.seed", "20261202") }
-
 const here = "bornova"
 
 func origin(name string, incarnation uint64) digest.Origin {
--- a/internal/core/fleet/view_test.go
+++ b/internal/core/fleet/view_test.go
@@ -1,7 +1,6 @@
 package fleet_test
 
 import (
-	"flag"
 	"fmt"
 	"testing"
 	"time"
@@ -12,9 +11,6 @@
 	"oleandershunt.example/oleandershunt/internal/core/fleet"
 )
 
-// A fixed seed makes runs reproducible; -rapid.seed on the command line overrides it.
-func init() { _ = flag.Set("rapid.seed", "20261202") }
-
 const (
 	self   = "vm-1"
 	server = "runner-1"
--- a/internal/core/fleet/vms_test.go
+++ b/internal/core/fleet/vms_test.go
@@ -1,7 +1,6 @@
 package fleet
 
 import (
-	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -10,9 +9,6 @@
 	"pgregory.net/rapid"
 )
 
-// A fixed seed makes runs reproducible; -rapid.seed on the command line overrides it.
-func init() { _ = flag.Set("rapid.seed", "20261203") }
-
 // detectorPair is a detector and one that checks all VMs in each tick.
 type detectorPair struct {
 	tested, full *VMDetector
--- a/internal/core/tally/update_test.go
+++ b/internal/core/tally/update_test.go
@@ -1,7 +1,6 @@
 package tally_test
 
 import (
-	"flag"
 	"fmt"
 	"maps"
 	"math"
@@ -16,9 +15,6 @@
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
 
-// A fixed seed makes runs reproducible; -rapid.seed on the command line overrides it.
-func init() { _ = flag.Set("rapid.seed", "20261203") }
-
 // Guards against answers that grow with all servers: each VM would get the loads of thousands of
 // servers four times a second although a few of them changed.
 func TestUpdateHasOnlyWhatChanged(t *testing.T) {
--- /dev/null
+++ b/internal/relay/main_test.go
@@ -0,0 +1,7 @@
+package relay
+
+import "oleandershunt.example/oleandershunt/internal/testutil"
+
+const propertyChecks = 100
+
+func init() { testutil.FixRapid(propertyChecks) }
