Test that VMs wait for the membership at a first start

Cause: the mirror asks nobody until the membership has settled at a first start, without a test. Change: a test counts whom a VM asks then: none of the seeds.

--- a/internal/mirror/assignment_test.go
+++ b/internal/mirror/assignment_test.go
@@ -101,3 +101,30 @@
 	g.Expect(now - time.Minute).To(BeNumerically("<", 2*seedsOnlyTime))
 	g.Expect(asked).To(HaveLen(3))
 }
+
+// Guards against hundreds of VMs that start for the first time and all ask the few seeds for the
+// list, or read it from the platform, before they know one another.
+func TestFirstStartWaitsForTheMembership(t *testing.T) {
+	g := NewWithT(t)
+	now, checks := time.Minute, 0
+	var asked []string
+	vms := dataCentre(10, 197)
+	f := NewFollower(NewLog(discard{}, func() time.Duration { return now }), Options{
+		Self: vms[206].Name, FirstStart: true, Seeds: []string{"seed-1", "seed-2"},
+		MembershipSettled: func() bool { checks++; return checks > 4 },
+		AllVMs:            func() []lease.VM { return vms },
+		LocalVMs:          func() []lease.VM { return vms },
+		Now:               func() time.Duration { return now },
+		Fetch: func(_ context.Context, vm string, _ *entriesv1.ChangesRequest) (*entriesv1.ChangesResponse, error) {
+			asked = append(asked, vm)
+			now += time.Second
+			return nil, errors.New("refused")
+		},
+	})
+	_, ok := f.Next(t.Context(), 0)
+	g.Expect(ok).To(BeFalse())
+	g.Expect(asked).NotTo(BeEmpty())
+	for _, vm := range asked {
+		g.Expect(vm).NotTo(HavePrefix("seed-"))
+	}
+}
