--- a/internal/edge/configpeers_test.go
+++ b/internal/edge/configpeers_test.go
@@ -1,7 +1,10 @@
 package edge
 
 import (
+	"bytes"
 	"net"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -76,3 +79,61 @@
 		}
 	}
 }
+
+// serveConfig serves a VM's configuration to others, and returns a client of it in its data centre.
+func serveConfig(t *testing.T, proofs *proofTracker) *configPeers {
+	g := NewWithT(t)
+	server := peer.NewServer(peer.Identity{Name: "vm-1", Deployment: deployment}, nil, func(string, string, error) {})
+	server.Handle(configv1connect.NewConfigServiceHandler(&configService{proofs: proofs}, handlerOptions))
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	serving := server.HTTPServer()
+	go func() { _ = serving.Serve(listener) }()
+	t.Cleanup(func() { _ = serving.Close() })
+	directory := peer.NewDirectory()
+	directory.Put(peer.Member{Name: "vm-1", DataCentre: "a", Address: listener.Addr().String()})
+	return &configPeers{
+		dialer: peer.NewDialer(directory, peer.Identity{Name: "vm-2", Deployment: deployment}, nil),
+		self:   "vm-2", ranked: func() []string { return []string{"vm-1", "vm-2"} },
+	}
+}
+
+// Guards against all VMs of a data centre reading the configuration from the platform after a
+// power loss because the VM that reads for them has none yet, and against waiting for it for ever.
+func TestStartingVMIsWaitedForAFewTimes(t *testing.T) {
+	g := NewWithT(t)
+	upstream := newProofTracker()
+	c := &configReader{
+		options: Options{current: newCurrentSettings(Settings{ConfigApplyTime: 100 * time.Millisecond})},
+		proofs:  newProofTracker(), peers: serveConfig(t, upstream),
+	}
+	for range maxStartWaits {
+		g.Expect(c.followPeer(t.Context())).To(BeTrue(), "no read of the platform")
+	}
+	g.Expect(c.followPeer(t.Context())).To(BeFalse(), "its upstream can't read the platform, or is gone")
+	upstream.recordProof(7, objects.Object{Value: []byte("{}")}, bootclock.Now())
+	version, hops, starting := c.peers.follow(t.Context(), 0, 0, func(configState) {})
+	g.Expect(version).To(Equal(uint64(7)))
+	g.Expect(hops).To(Equal(1))
+	g.Expect(starting).To(BeFalse())
+}
+
+// Guards against compressing answers that have nothing new, with tables larger than they are.
+func TestOnlyLargeAnswersAreCompressed(t *testing.T) {
+	g := NewWithT(t)
+	for size, encoding := range map[int]string{20: "", compressMinBytes: "gzip"} {
+		proofs := newProofTracker()
+		proofs.recordProof(7, objects.Object{Value: bytes.Repeat([]byte("x"), size)}, bootclock.Now())
+		client, url, err := serveConfig(t, proofs).dialer.Endpoint("vm-1")
+		g.Expect(err).NotTo(HaveOccurred())
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, url+configv1connect.ConfigServiceInForceProcedure, strings.NewReader("{}"))
+		g.Expect(err).NotTo(HaveOccurred())
+		request.Header.Set("Content-Type", "application/json")
+		request.Header.Set("Accept-Encoding", "gzip")
+		response, err := client.Do(request)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.Body.Close()).To(Succeed())
+		g.Expect(response.StatusCode).To(Equal(http.StatusOK))
+		g.Expect(response.Header.Get("Content-Encoding")).To(Equal(encoding), "%d bytes", size)
+	}
+}
