--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -78,13 +78,13 @@
 	}
 }
 
-// put replaces the report of a VM or data centre in the sums. also are the sums of this data centre
+// put replaces the report of a VM or data centre in the sums. vmSums are the sums of this data centre
 // for one of its VMs, and nil for another data centre.
-func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, also *sums) {
+func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, vmSums *sums) {
 	before := reports[from].tally
 	tally.Loads = quantize(tally.Loads)
 	reports[from] = report{at: now, tally: tally, loadsExpire: true}
-	h.replace(now, reporter{from, also != nil}, before, tally, also)
+	h.replace(now, reporter{from, vmSums != nil}, before, tally, vmSums)
 	h.nextExpiry = min(h.nextExpiry, now+ReportTTL)
 }
 
@@ -102,12 +102,12 @@
 }
 
 // replace takes a report off the sums and what is known of single servers, and adds another one.
-func (h *Hub) replace(now time.Duration, from reporter, before, after Tally, also *sums) {
+func (h *Hub) replace(now time.Duration, from reporter, before, after Tally, vmSums *sums) {
 	for _, id := range h.all.replace(before, after) {
 		h.log.record(now, id, h.all.loads[id])
 	}
-	if also != nil {
-		also.replace(before, after)
+	if vmSums != nil {
+		vmSums.replace(before, after)
 	}
 	h.replaceFull(from.key(), before, after)
 	h.replaceRates(from.key(), before, after)
@@ -145,7 +145,7 @@
 	h.expireReports(now, h.remote, nil)
 }
 
-func (h *Hub) expireReports(now time.Duration, reports map[string]report, also *sums) {
+func (h *Hub) expireReports(now time.Duration, reports map[string]report, vmSums *sums) {
 	for from, r := range reports {
 		if now > r.expiry() {
 			left := Tally{}
@@ -155,7 +155,7 @@
 			} else {
 				delete(reports, from)
 			}
-			h.replace(now, reporter{from, also != nil}, r.tally, left, also)
+			h.replace(now, reporter{from, vmSums != nil}, r.tally, left, vmSums)
 		}
 		if r, ok := reports[from]; ok {
 			h.nextExpiry = min(h.nextExpiry, r.expiry())
--- a/internal/mirror/packed.go
+++ b/internal/mirror/packed.go
@@ -17,9 +17,9 @@
 )
 
 const (
-	// repackAfter: a snapshot is packed again once there are more changes since than the
-	// number of objects divided by repackAfter.
-	repackAfter = 8
+	// repackDivisor: a snapshot is packed again once there are more changes since than the
+	// number of objects divided by repackDivisor.
+	repackDivisor = 8
 	// maxSnapshotBytes bounds an unpacked snapshot: some 200,000 entries.
 	maxSnapshotBytes = 64 << 20
 )
@@ -46,7 +46,7 @@
 	defer l.packed.mu.Unlock()
 	if l.packed.data != nil {
 		changes = l.changesSince(l.packed.version)
-		if !changes.page.IsSnapshot && len(changes.page.Events) <= l.size()/repackAfter {
+		if !changes.page.IsSnapshot && len(changes.page.Events) <= l.size()/repackDivisor {
 			return l.packed.data, changes, true
 		}
 	}
