--- a/internal/core/backends/subsets_test.go
+++ b/internal/core/backends/subsets_test.go
@@ -73,7 +73,7 @@
 			m.fleet.AddLoad(load)
 			m.running = append(m.running, load)
 		},
-		"end": func(t *rapid.T) {
+		"end": func(*rapid.T) {
 			if len(m.running) > 0 {
 				m.fleet.RemoveLoad(m.running[0])
 				m.running = m.running[1:]
@@ -92,7 +92,7 @@
 				m.fleet.SetPlatformUp(m.now)
 			}
 		},
-		"expire": func(t *rapid.T) { m.fleet.RemoveExpired(m.now) },
+		"expire": func(*rapid.T) { m.fleet.RemoveExpired(m.now) },
 		"":       m.check,
 	}
 }
