--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
@@ -155,7 +157,13 @@
 func (d *Dispatcher) takeRetry(service string, share float64) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.TakeRetry(d.now(), service, share)
+	allowed := d.budget.TakeRetry(d.now(), service, share)
+	if allowed {
+		metrics.GetOrCreateCounter(`oleandershunt_relay_retries_total{decision="allowed"}`).Inc()
+	} else {
+		metrics.GetOrCreateCounter(`oleandershunt_relay_retries_total{decision="refused"}`).Inc()
+	}
+	return allowed
 }
 
 // SetLiveVMs sets the number of live VMs, including this one.
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -36,6 +36,7 @@
 	DataCentreBack     = Event{6104, "data centre is reached again"}
 	RelayProofLost     = Event{2103, "configuration is not proven to be the newest"}
 	RelayProofBack     = Event{2104, "configuration is proven to be the newest again"}
+	RelayConfigUnread  = Event{2105, "configuration can't be read from the platform"}
 	PlacerHeld         = Event{7101, "this VM orders the layers of its data centre"}
 	PlacerLost         = Event{7102, "another VM orders the layers of the data centre"}
 	LayersOrdered      = Event{7103, "layers ordered"}
