--- /dev/null
+++ b/internal/core/tally/restart_test.go
@@ -0,0 +1,205 @@
+package tally_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/tally"
+)
+
+// Figures of the simulated deployment.
+const (
+	simulatedVMs     = 66
+	simulatedCentres = 3
+	retryRatio       = 0.2
+	retrySlack       = 354
+	retryWindow      = 10 * time.Second
+	// tick is the step of the simulation. A VM gets a request every requestInterval, and
+	// exchanges its tally every exchangeInterval.
+	tick             = 50 * time.Millisecond
+	exchangeInterval = 250 * time.Millisecond
+	requestInterval  = 250 * time.Millisecond
+	// downTime is how long a killed VM takes to return.
+	downTime = 300 * time.Millisecond
+)
+
+// loss kills VMs at a time.
+type loss struct {
+	at time.Duration
+	// share is the fraction of the VMs that are killed. Hubs are killed first if hubs is set, and
+	// spared otherwise unless all VMs are killed.
+	share float64
+	hubs  bool
+}
+
+// simulatedVM is a VM whose callers retry as often as it allows.
+type simulatedVM struct {
+	name, dataCentre string
+	// returnsAt is when the VM runs again.
+	returnsAt time.Duration
+	process   *simulatedProcess
+}
+
+// simulatedProcess is the state that a VM loses when it is killed.
+type simulatedProcess struct {
+	budget *budget.Budget
+	hub    *tally.Hub
+	// asked is set once the process has received a request.
+	asked bool
+}
+
+// simulation is a deployment without I/O, whose clock the test controls.
+type simulation struct {
+	now    time.Duration
+	vms    []*simulatedVM
+	random *rand.Rand
+	epochs uint64
+	// requests and retries are counted by tick.
+	requests, retries []int
+}
+
+func newSimulation(seed uint64) *simulation {
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1))}
+	for i := range simulatedVMs {
+		vm := &simulatedVM{name: fmt.Sprintf("vm-%02d", i), dataCentre: string(rune('a' + i%simulatedCentres))}
+		s.start(vm)
+		s.vms = append(s.vms, vm)
+	}
+	return s
+}
+
+func (s *simulation) start(vm *simulatedVM) {
+	s.epochs++
+	b := budget.New(budget.Options{
+		Ratio: retryRatio, Slack: retrySlack, Window: retryWindow, MinVMs: 12, StartupVMs: 100, StartupPeriod: 3 * time.Second,
+		Random: s.random.Float64,
+	})
+	vm.process = &simulatedProcess{budget: b, hub: tally.NewHub(vm.dataCentre, s.epochs, anyServer)}
+}
+
+func (s *simulation) running(vm *simulatedVM) bool { return s.now >= vm.returnsAt }
+
+// hubOf returns the highest-ranked running VM of a data centre, or nil.
+func (s *simulation) hubOf(dataCentre string) *simulatedVM {
+	for _, vm := range s.vms {
+		if vm.dataCentre == dataCentre && s.running(vm) {
+			return vm
+		}
+	}
+	return nil
+}
+
+func (s *simulation) kill(l loss) {
+	order := s.random.Perm(len(s.vms))
+	slices.SortStableFunc(order, func(a, b int) int {
+		isHub := func(i int) bool { return i < simulatedCentres }
+		switch {
+		case isHub(a) == isHub(b):
+			return 0
+		case isHub(a) == l.hubs:
+			return -1
+		default:
+			return 1
+		}
+	})
+	for _, i := range order[:int(l.share*float64(len(s.vms)))] {
+		s.vms[i].returnsAt = s.now + downTime
+		s.start(s.vms[i])
+	}
+}
+
+// exchange lets a VM report to its hub, and a hub to the other hubs.
+func (s *simulation) exchange(vm *simulatedVM) {
+	hub := s.hubOf(vm.dataCentre)
+	p := vm.process
+	p.budget.SetLiveVMs(len(s.vms))
+	hub.process.hub.Report(s.now, vm.name, tally.Tally{VMs: 1, Counts: p.budget.Counts(s.now)})
+	if hub == vm {
+		for dataCentre := 'a'; dataCentre < 'a'+simulatedCentres; dataCentre++ {
+			if other := s.hubOf(string(dataCentre)); other != nil && other != vm {
+				other.process.hub.ReportRemote(s.now, vm.dataCentre, p.hub.LocalSum(s.now))
+				p.hub.ReportRemote(s.now, other.dataCentre, other.process.hub.LocalSum(s.now))
+			}
+		}
+	}
+	others := hub.process.hub.SumExcept(s.now, vm.name)
+	p.budget.SetPeerCounts(s.now, others.VMs, others.Counts)
+}
+
+// run plays the deployment for a time. From second 3 on each request fails, and the VMs retry
+// whenever they may.
+func (s *simulation) run(length time.Duration, losses ...loss) {
+	const failuresFrom = 3 * time.Second
+	for ; s.now < length; s.now += tick {
+		for _, l := range losses {
+			if l.at == s.now {
+				s.kill(l)
+			}
+		}
+		requests, retries := 0, 0
+		for i, vm := range s.vms {
+			if !s.running(vm) {
+				continue
+			}
+			phase := time.Duration(i) * tick
+			if (s.now+phase)%exchangeInterval == 0 {
+				s.exchange(vm)
+			}
+			if (s.now+phase)%requestInterval == 0 {
+				vm.process.budget.CountRequest(s.now, "llm")
+				vm.process.asked = true
+				requests++
+			}
+			for vm.process.asked && s.now >= failuresFrom && vm.process.budget.TakeRetry(s.now, "llm", 1) {
+				retries++
+			}
+		}
+		s.requests, s.retries = append(s.requests, requests), append(s.retries, retries)
+	}
+}
+
+// mostRetries returns the most retries in a window as a fraction of what is allowed in it.
+func (s *simulation) mostRetries() float64 {
+	const ticks = int(retryWindow / tick)
+	most := 0.0
+	for from := range max(len(s.retries)-ticks, 1) {
+		requests, retries := 0, 0
+		for i := from; i < min(from+ticks, len(s.retries)); i++ {
+			requests += s.requests[i]
+			retries += s.retries[i]
+		}
+		most = max(most, float64(retries)/(retryRatio*float64(requests)+retrySlack))
+	}
+	return most
+}
+
+// Guards against exceeding the retry budget because the retries of killed VMs are forgotten: they
+// return under their names, and report none.
+func TestRetriesOfKilledVMsCountForTheWholeWindow(t *testing.T) {
+	for name, losses := range map[string][]loss{
+		"none":                  nil,
+		"once":                  {{8 * time.Second, 0.6, false}},
+		"once with hubs":        {{8 * time.Second, 0.6, true}},
+		"in series":             {{6 * time.Second, 0.6, false}, {9 * time.Second, 0.6, false}, {12 * time.Second, 0.6, false}},
+		"in series with hubs":   {{6 * time.Second, 0.6, true}, {9 * time.Second, 0.6, true}, {12 * time.Second, 0.6, true}},
+		"at the first failures": {{3300 * time.Millisecond, 0.6, true}, {5 * time.Second, 0.6, true}},
+		"all, twice":            {{8 * time.Second, 1, true}, {11 * time.Second, 1, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			for seed := range uint64(3) {
+				s := newSimulation(seed)
+				s.run(30*time.Second, losses...)
+				most := s.mostRetries()
+				t.Logf("seed %d: %.2f of what is allowed", seed, most)
+				g.Expect(most).To(BeNumerically("<=", 1))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/edge/applytime_test.go
@@ -0,0 +1,82 @@
+package edge_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/edge"
+)
+
+// newConfiguredVMs starts VMs of one data centre that allow 2 s for a change, and waits until they
+// have discovered one another and serve the first configuration.
+func newConfiguredVMs(t *testing.T, store *memoryStore, count int) []*rig {
+	store.set("config", "main", table(1))
+	vms := newVMs(t, store, count, func(s *edge.Settings) { s.ConfigApplyTime, s.MaxProofAge = 2*time.Second, 3*time.Second })
+	vms[0].server("s1", ok)
+	for _, vm := range vms {
+		vm.Eventually(func() int { return vm.status("/plain/a", "r1") }, "10s").Should(Equal(http.StatusOK))
+	}
+	time.Sleep(2 * time.Second)
+	return vms
+}
+
+// expectApplied waits until each VM serves a route that was added with a change, and expects that
+// it does within the allowed time.
+func expectApplied(g *WithT, vms []*rig, written time.Time) {
+	left := vms
+	for len(left) > 0 && time.Since(written) < 10*time.Second {
+		var late []*rig
+		for _, vm := range left {
+			if vm.status("/added/a", "r2") != http.StatusOK {
+				late = append(late, vm)
+			}
+		}
+		left = late
+		time.Sleep(5 * time.Millisecond)
+	}
+	g.Expect(left).To(BeEmpty())
+	g.Expect(time.Since(written)).To(BeNumerically("<=", vms[0].settings.ConfigApplyTime))
+}
+
+// changed returns a configuration with one more route.
+func changed(version uint64) tableValue {
+	newer := table(version)
+	newer.Routes = append(newer.Routes, route("/added/", routes.Repeatable, false))
+	return newer
+}
+
+// Guards against VMs that wait for seconds after a failed read and learn nothing from others
+// meanwhile.
+func TestChangeIsInForceInTimeAfterFailedReads(t *testing.T) {
+	g := NewWithT(t)
+	store := newMemoryStore()
+	vms := newConfiguredVMs(t, store, 24)
+	var reader *rig
+	for _, vm := range vms {
+		vm.storeConn.reads.Store(0)
+	}
+	time.Sleep(1500 * time.Millisecond)
+	for _, vm := range vms {
+		if vm.storeConn.reads.Load() > 0 {
+			reader = vm
+		}
+	}
+	g.Expect(reader).NotTo(BeNil())
+	for _, vm := range vms {
+		vm.storeConn.cut.Store(true)
+	}
+	time.Sleep(2 * time.Second)
+	var others []*rig
+	for _, vm := range vms {
+		if vm != reader {
+			vm.storeConn.cut.Store(false)
+			others = append(others, vm)
+		}
+	}
+	store.set("config", "main", changed(2))
+	expectApplied(g, others, time.Now())
+}
