Count the retries of VMs that ended for the whole window of the budget

The counts belong to moments, and were kept by name: the hub replaced the report of a VM by that of its next process, a hub that started knew nothing of before, and a process that started took most of its own share whatever was used before.

Counts are reported by age now and drop out of the sums by their age, not by a report. A VM's report names its process; that of another process is added. A VM keeps the counts of its data centre that its hub told last, and passes them on once when another process answers; a hub that has started asks the other data centres, too, and says that it doesn't know the counts until it has served for three reporting intervals with them, or for a window without. A VM without such counts has its reserve only, which grows with the age of the process; one with old counts uses its part of them once. After the first start of a deployment nothing was used before.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -15,6 +15,8 @@
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// StartedAt is when this process started. What the VM did before is unknown to it.
+	StartedAt time.Duration
 	// MinVMs is the minimum number of VMs among which the slack is divided. StartupVMs is the
 	// minimum while the number of live VMs is unknown, for StartupPeriod after the first request.
 	MinVMs, StartupVMs int
@@ -25,18 +27,20 @@
 
 // Parameters of the budget.
 const (
-	// buckets is the number of buckets in which a window is counted.
-	buckets = 40
+	// buckets is the number of buckets in which a window is counted, and keptBuckets how many
+	// are kept: those of a History, whose last part is partly older than the window.
+	buckets     = 2 * HistoryBuckets
+	keptBuckets = 2 * HistoryLength
 	// sharedFraction is the fraction of the whole budget up to which any VM may retry while it
 	// has current counts of all other VMs, and reservedFraction the fraction of its own share
-	// that each VM always has: together they stay below the limit.
+	// that each VM always has: together they stay below the limit. The reserve
+	// grows with the age of the process until it is as old as the window, so that the processes
+	// of a VM that restarts again and again have one reserve together.
 	sharedFraction   = 0.88
 	reservedFraction = 0.1
-	// isolatedFraction is the fraction of its share that a VM has without current counts of the
-	// others.
+	// isolatedFraction is the fraction of its share that a VM has without counts of the others
+	// within the last window.
 	isolatedFraction = 0.9
-	// peerCountsTTL is the maximum age of the other VMs' counts.
-	peerCountsTTL = 1500 * time.Millisecond
 	// propagationDelay is how long it takes until the counts of a VM are in the sums of all
 	// others: 0.25 s each to the hub of its data centre, from there to another hub, and to that
 	// hub's VMs.
@@ -46,19 +50,14 @@
 	drawDeviations = 2
 )
 
-// Count is what a VM did in the last window.
-type Count struct {
-	Requests int `json:"requests"`
-	Retries  int `json:"repeats"`
-}
-
 // Budget counts one VM's requests and retries by service.
 type Budget struct {
 	options  Options
 	services map[string]*window
-	// peers are the latest counts of all other VMs. maxVMs is the highest number of VMs that
-	// such counts covered, this one included, and maxVMsAt when that was received.
+	// peers are the latest complete counts of all other VMs, and traffic the latest ones. maxVMs is the highest number of
+	// VMs that such counts covered, this one included, and maxVMsAt when that was received.
 	peers    peerCounts
+	traffic  map[string]Count
 	maxVMs   int
 	maxVMsAt time.Duration
 	// liveVMs is the number of live VMs, this one included; 0 means unknown.
@@ -74,7 +73,7 @@
 }
 
 type window struct {
-	requests, retries [buckets]int
+	requests, retries [keptBuckets]int
 	bucket            int64
 	// draw is the random number of this VM that decides whether it may retry when less than one
 	// retry per VM is left, and drawnAt when it was drawn.
@@ -91,29 +90,23 @@
 	return &Budget{options: options, services: make(map[string]*window)}
 }
 
-// SetPeerCounts sets the counts by service of the other VMs, summed over that many VMs.
+// SetPeerCounts sets the counts by service of the other VMs, summed over that many VMs. They must
+// include what VMs did in the last window that have ended since.
 func (b *Budget) SetPeerCounts(now time.Duration, vms int, counts map[string]Count) {
-	b.peers = peerCounts{at: now, vms: vms, counts: counts}
+	b.peers, b.traffic = peerCounts{at: now, vms: vms, counts: counts}, counts
 	if vms+1 >= b.maxVMs || now-b.maxVMsAt > 2*b.options.Window {
 		b.maxVMs, b.maxVMsAt = vms+1, now
 	}
 }
 
-// Counts returns this VM's counts by service, to report to the other VMs.
-func (b *Budget) Counts(now time.Duration) map[string]Count {
-	counts := make(map[string]Count, len(b.services))
-	for service := range b.services {
-		if count := b.ownCount(now, service); count != (Count{}) {
-			counts[service] = count
-		}
-	}
-	return counts
-}
+// SetPeerTraffic sets counts of the other VMs that may lack some. They show only whether there is
+// traffic.
+func (b *Budget) SetPeerTraffic(counts map[string]Count) { b.traffic = counts }
 
 // HasTraffic reports whether this VM, or another one whose counts it has, received requests in the
 // last window.
 func (b *Budget) HasTraffic(now time.Duration) bool {
-	for _, count := range b.peers.counts {
+	for _, count := range b.traffic {
 		if count.Requests > 0 {
 			return true
 		}
@@ -132,7 +125,7 @@
 		b.firstRequestAt = now
 	}
 	w := b.window(now, service)
-	w.requests[w.bucket%buckets]++
+	w.requests[w.bucket%keptBuckets]++
 }
 
 // TakeRetry takes one retry and reports true if the retries used so far are below the given part of
@@ -143,36 +136,46 @@
 // propagation delay a VM uses only its part of what is left.
 //
 // Failures affect VMs unevenly, so a VM with current counts of the others may use what they
-// leave. A VM that is partitioned or has just restarted is restricted to its own share: the
-// shares of all VMs together are within the limit whatever each of them knows. If VMs receive
-// the counts of only some others, as on one side of a partition, each side gets its part of the
-// slack.
+// leave. A VM that no longer receives counts may use its part of what the last ones left, and once
+// they are as old as the window its own share: the shares of all VMs together are within the limit
+// whatever each of them knows. A VM that has just started knows nothing of what was used before,
+// by itself or by others, and has its reserve only. If VMs receive the counts of only some others,
+// as on one side of a partition, each side gets its part of the slack.
 func (b *Budget) TakeRetry(now time.Duration, service string, part float64) bool {
 	own := b.ownCount(now, service)
 	share := b.limit(own.Requests) - b.options.Slack + b.options.Slack/float64(b.vmCount(now))
 	next := float64(own.Retries + 1)
-	allowed := next <= part*reservedFraction*share
-	if b.peers.vms > 0 && now-b.peers.at <= peerCountsTTL && now >= b.firstRequestAt+b.options.StartupPeriod {
-		vms := float64(b.peers.vms + 1)
-		peers := b.peers.counts[service]
-		limit := b.options.Ratio*float64(own.Requests+peers.Requests) + b.options.Slack*vms/max(vms, float64(b.vmCount(now)))
-		left := part*sharedFraction*limit - float64(own.Retries+peers.Retries)
-		if left < vms {
-			// Less than one retry per VM is left: random draws decide which VMs take one, and
-			// how many do.
-			left -= drawDeviations * math.Sqrt(max(left, 0))
-		}
-		allowed = allowed || float64(b.recentRetries(now, service))+b.randomDraw(now, service) < left/vms
-	} else {
+	age := now - b.options.StartedAt
+	allowed := next <= part*reservedFraction*share*min(age.Seconds()/b.options.Window.Seconds(), 1)
+	switch countsAge := now - b.peers.at; {
+	case b.peers.vms > 0 && countsAge <= b.options.Window:
+		unknown := b.retriesSince(now, service, countsAge+propagationDelay)
+		allowed = allowed || float64(unknown)+b.randomDraw(now, service) < b.partLeft(now, service, own, part)
+	case age >= b.options.Window:
 		allowed = allowed || next <= part*isolatedFraction*share
 	}
 	if allowed {
 		w := b.window(now, service)
-		w.retries[w.bucket%buckets]++
+		w.retries[w.bucket%keptBuckets]++
 	}
 	return allowed
 }
 
+// partLeft returns this VM's part of the retries that all VMs have left, by the last counts of the
+// others.
+func (b *Budget) partLeft(now time.Duration, service string, own Count, part float64) float64 {
+	vms := float64(b.peers.vms + 1)
+	peers := b.peers.counts[service]
+	limit := b.options.Ratio*float64(own.Requests+peers.Requests) + b.options.Slack*vms/max(vms, float64(b.vmCount(now)))
+	left := part*sharedFraction*limit - float64(own.Retries+peers.Retries)
+	if left < vms {
+		// Less than one retry per VM is left: random draws decide which VMs take one, and
+		// how many do.
+		left -= drawDeviations * math.Sqrt(max(left, 0))
+	}
+	return left / vms
+}
+
 // randomDraw returns a random number that stays the same for one propagation delay. A VM that
 // drew a new one for each attempt would win eventually, and so would all others, before any of
 // them learns of the rest.
@@ -205,20 +208,29 @@
 func (b *Budget) ownCount(now time.Duration, service string) Count {
 	w := b.window(now, service)
 	var count Count
-	for i := range buckets {
-		count.Requests += w.requests[i]
-		count.Retries += w.retries[i]
+	for age := range int64(keptBuckets) {
+		at := w.at(age)
+		if age >= buckets {
+			at.Requests = 0
+		}
+		count = count.Add(at)
 	}
 	return count
 }
 
-// recentRetries counts the retries that the other VMs may not know of yet: those in the current
-// bucket and in the earlier ones of the last propagation delay.
-func (b *Budget) recentRetries(now time.Duration, service string) int {
+// at returns the counts of the bucket that is that many buckets old.
+func (w *window) at(age int64) Count {
+	i := (w.bucket + keptBuckets - age) % keptBuckets
+	return Count{Requests: w.requests[i], Retries: w.retries[i]}
+}
+
+// retriesSince counts the retries in the current bucket and in the earlier ones of a time. The
+// other VMs may not know yet of those of the last propagation delay.
+func (b *Budget) retriesSince(now time.Duration, service string, since time.Duration) int {
 	w := b.window(now, service)
 	count := 0
-	for back := range int64(propagationDelay/(b.options.Window/buckets)) + 1 {
-		count += w.retries[(w.bucket+buckets-back%buckets)%buckets]
+	for age := range min(int64(since/(b.options.Window/buckets))+1, keptBuckets) {
+		count += w.at(age).Retries
 	}
 	return count
 }
@@ -232,9 +244,9 @@
 		w = &window{bucket: bucket}
 		b.services[service] = w
 	}
-	for passed := 0; w.bucket < bucket && passed < buckets; passed++ {
+	for passed := 0; w.bucket < bucket && passed < keptBuckets; passed++ {
 		w.bucket++
-		w.requests[w.bucket%buckets], w.retries[w.bucket%buckets] = 0, 0
+		w.requests[w.bucket%keptBuckets], w.retries[w.bucket%keptBuckets] = 0, 0
 	}
 	w.bucket = max(w.bucket, bucket)
 	return w
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -14,9 +14,16 @@
 	// ReportTTL is how long the loads of a report count after it was received: three reporting
 	// intervals. The requests of a VM that has gone have ended.
 	ReportTTL = 750 * time.Millisecond
-	// CountsTTL is how long the retries of a report count: they were made within the window of
-	// the retry budget, whatever became of the VM.
+	// CountsTTL is the window of the retry budget unless SetWindow sets another one. Requests and
+	// retries count for so long, whatever became of the VM.
 	CountsTTL = 10 * time.Second
+	// idlePeriod is the time without reports after which a hub no longer knows what VMs did
+	// meanwhile.
+	idlePeriod = 2 * ReportTTL
+	// inheritPeriod is how long a hub waits for the counts that others knew before: three
+	// reporting intervals, until each VM has reported to it, has learnt that it is another hub,
+	// and has passed on what it knew. The first of them may know less than others.
+	inheritPeriod = 750 * time.Millisecond
 )
 
 // Hub aggregates the reports of its data centre's VMs and the sums of other data centres.
@@ -36,6 +43,15 @@
 	rates rateReports
 	// nextExpiry is the earliest time at which a part of a report may expire.
 	nextExpiry time.Duration
+	// window is the window of the retry budget.
+	window time.Duration
+	// servingSince is since when VMs have reported to this hub without a break, and servedAt when
+	// they last did. inherited are counts from before that were learnt from others, if any.
+	servingSince, servedAt time.Duration
+	inherited              Counts
+	// nothingBeforeUntil is until when a hub that begins to serve knows that no VM ended before,
+	// after the first start of the deployment.
+	nothingBeforeUntil time.Duration
 }
 
 // report is a received tally and the time at which it was received. Once its loads have expired
@@ -44,14 +60,17 @@
 	at          time.Duration
 	tally       Tally
 	loadsExpire bool
+	// before is what an earlier process of a data centre's hub reported last. This process may
+	// not know all of it.
+	before Counts
 }
 
 // expiry returns the time after which the next part of a report expires.
-func (r report) expiry() time.Duration {
+func (r report) expiry(window time.Duration) time.Duration {
 	if r.loadsExpire {
 		return r.at + ReportTTL
 	}
-	return r.at + CountsTTL
+	return r.at + window
 }
 
 // NewHub returns the hub of a data centre, without any reports. The epoch tells it from other hubs.
@@ -60,10 +79,16 @@
 	return &Hub{
 		dataCentre: dataCentre, vms: make(map[string]report), remote: make(map[string]report),
 		local: newSums(), all: newSums(), log: newLoadLog(epoch, isLocal),
-		full: make(fullServers), rates: make(rateReports),
+		full: make(fullServers), rates: make(rateReports), window: CountsTTL,
 	}
 }
 
+// SetWindow sets the window of the retry budget, before the first report.
+func (h *Hub) SetWindow(window time.Duration) { h.window = window }
+
+// bucket returns the bucket of a time.
+func (h *Hub) bucket(at time.Duration) int64 { return int64(at / (h.window / budget.HistoryBuckets)) }
+
 // Report records a VM's own tally.
 func (h *Hub) Report(now time.Duration, vm string, tally Tally) {
 	h.expire(now)
@@ -80,14 +105,43 @@
 
 // put replaces the report of a VM or data centre in the sums. vmSums are the sums of this data centre
 // for one of its VMs, and nil for another data centre.
+//
+// Loads end with the process that reported them. Counts don't: if a VM has restarted, those of its
+// earlier process stay in the sums until they are older than the window.
 func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, vmSums *sums) {
-	before := reports[from].tally
+	before := reports[from]
 	tally.Loads = quantize(tally.Loads)
-	reports[from] = report{at: now, tally: tally, loadsExpire: true}
-	h.replace(now, reporter{from, vmSums != nil}, before, tally, vmSums)
+	next := report{at: now, tally: tally, loadsExpire: true, before: before.before}
+	sameProcess := before.tally.Process == tally.Process
+	if vmSums == nil {
+		if !sameProcess {
+			next.before = Counts{At: before.at, Histories: before.tally.Counts}
+		}
+		next.tally.Counts = Add(tally.Counts, h.missing(now, tally.Counts, next.before))
+	}
+	if sameProcess || vmSums == nil {
+		h.subtractCounts(before, vmSums)
+	}
+	reports[from] = next
+	h.addCounts(next, vmSums)
+	h.replace(now, reporter{from, vmSums != nil}, before.tally, next.tally, vmSums)
 	h.nextExpiry = min(h.nextExpiry, now+ReportTTL)
 }
 
+func (h *Hub) addCounts(r report, vmSums *sums) {
+	h.all.addCounts(h.bucket(r.at), r.tally.Counts)
+	if vmSums != nil {
+		vmSums.addCounts(h.bucket(r.at), r.tally.Counts)
+	}
+}
+
+func (h *Hub) subtractCounts(r report, vmSums *sums) {
+	h.all.subtractCounts(h.bucket(r.at), r.tally.Counts)
+	if vmSums != nil {
+		vmSums.subtractCounts(h.bucket(r.at), r.tally.Counts)
+	}
+}
+
 // reporter is a VM or a data centre.
 type reporter struct {
 	name string
@@ -147,18 +201,18 @@
 
 func (h *Hub) expireReports(now time.Duration, reports map[string]report, vmSums *sums) {
 	for from, r := range reports {
-		if now > r.expiry() {
+		if now > r.expiry(h.window) {
 			left := Tally{}
-			if r.loadsExpire && now <= r.at+CountsTTL {
-				left.Counts = r.tally.Counts
-				reports[from] = report{at: r.at, tally: left}
+			if r.loadsExpire && now <= r.at+h.window {
+				left.Process, left.Counts = r.tally.Process, r.tally.Counts
+				reports[from] = report{at: r.at, tally: left, before: r.before}
 			} else {
 				delete(reports, from)
 			}
 			h.replace(now, reporter{from, vmSums != nil}, r.tally, left, vmSums)
 		}
 		if r, ok := reports[from]; ok {
-			h.nextExpiry = min(h.nextExpiry, r.expiry())
+			h.nextExpiry = min(h.nextExpiry, r.expiry(h.window))
 		}
 	}
 }
@@ -167,7 +221,7 @@
 func (h *Hub) LocalSum(now time.Duration) Tally {
 	h.expire(now)
 	sum := Tally{
-		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: maps.Clone(h.local.counts),
+		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: h.LocalCounts(now).Histories,
 		Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report),
 	}
 	for _, r := range h.vms {
@@ -202,17 +256,11 @@
 	h.expire(now)
 	own := h.vms[vm].tally
 	sum := Tally{
-		VMs: h.all.vms - own.VMs, Counts: make(map[string]budget.Count),
+		VMs: h.all.vms - own.VMs, Counts: h.countsExcept(now, vm), CountsUnknown: !h.KnowsCounts(now),
 		Full: h.full.except(reporter{vm, true}.key()),
 		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
 		Rates: h.rates.newest(),
 	}
-	for service, count := range h.all.counts {
-		rest := budget.Count{Requests: count.Requests - own.Counts[service].Requests, Retries: count.Retries - own.Counts[service].Retries}
-		if rest != (budget.Count{}) {
-			sum.Counts[service] = rest
-		}
-	}
 	return sum
 }
 
--- a/internal/core/tally/sums.go
+++ b/internal/core/tally/sums.go
@@ -12,15 +12,15 @@
 type sums struct {
 	vms    int
 	loads  map[string]backends.Usage
-	counts map[string]budget.Count
+	counts map[string]*timeline
 }
 
 func newSums() sums {
-	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]budget.Count)}
+	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]*timeline)}
 }
 
-// replace takes a report off the sums and adds another one. It returns the servers whose sum
-// changed.
+// replace takes a report off the sums and adds another one, except for the counts. It returns the
+// servers whose sum changed.
 func (s *sums) replace(before, after Tally) (changed []string) {
 	s.vms += after.VMs - before.VMs
 	for id, load := range before.Loads {
@@ -35,12 +35,6 @@
 			changed = append(changed, id)
 		}
 	}
-	for service, count := range before.Counts {
-		s.addCount(service, -count.Requests, -count.Retries)
-	}
-	for service, count := range after.Counts {
-		s.addCount(service, count.Requests, count.Retries)
-	}
 	return changed
 }
 
@@ -52,15 +46,30 @@
 	}
 }
 
-func (s *sums) addCount(service string, requests, retries int) {
-	sum := s.counts[service]
-	sum.Requests += requests
-	sum.Retries += retries
-	if sum != (budget.Count{}) {
-		s.counts[service] = sum
-	} else {
-		delete(s.counts, service)
+func (s *sums) addCounts(bucket int64, counts map[string]budget.History) {
+	for service, history := range counts {
+		if s.counts[service] == nil {
+			s.counts[service] = &timeline{}
+		}
+		s.counts[service].add(bucket, history)
+	}
+}
+
+func (s *sums) subtractCounts(bucket int64, counts map[string]budget.History) {
+	for service, history := range counts {
+		s.counts[service].subtract(bucket, history)
+	}
+}
+
+// histories returns the counts as of a bucket of the services that have any.
+func (s *sums) histories(bucket int64) map[string]budget.History {
+	histories := make(map[string]budget.History, len(s.counts))
+	for service, counts := range s.counts {
+		if history := counts.history(bucket); history != (budget.History{}) {
+			histories[service] = history
+		}
 	}
+	return histories
 }
 
 // fullServers are the servers that are reported as full.
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -26,13 +26,19 @@
 type Tally struct {
 	// VMs is the number of these VMs.
 	VMs int
+	// Process identifies the process of the VM, or of the hub of a data centre, that reports the
+	// tally; 0 in a hub's answers and from VMs of older builds.
+	Process uint64
 	// Loads is the usage by their requests, by server.
 	Loads map[string]backends.Usage
 	// Partial is set if Loads has only the servers whose usage changed; that of the others is as
 	// before.
 	Partial bool
-	// Counts are their requests and retries, by service.
-	Counts map[string]budget.Count
+	// Counts are their requests and retries, by service. In a hub's answer they include those of
+	// VMs that ended within the last window.
+	Counts map[string]budget.History
+	// CountsUnknown is set in the answer of a hub that doesn't know yet what VMs did that ended.
+	CountsUnknown bool
 	// Full lists the servers that recently rejected one of their requests for lack of memory,
 	// and for how long to treat them as full.
 	Full map[string]time.Duration
--- a/internal/relay/capacity_test.go
+++ b/internal/relay/capacity_test.go
@@ -50,6 +50,7 @@
 // newSmallVM starts a VM before servers that each hold all layers and have capacity for one
 // request.
 func newSmallVM(t *testing.T, retries budget.Options, servers ...*httptest.Server) *httptest.Server {
+	retries.StartedAt = -retries.Window // nothing that was used before counts any more
 	vm, configure := newUnconfiguredVM(t, retries, servers...)
 	configure()
 	return vm
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -175,10 +175,10 @@
 }
 
 // RetryCounts returns this VM's counts of requests and retries, to be shared with the other VMs.
-func (d *Dispatcher) RetryCounts() map[string]budget.Count {
+func (d *Dispatcher) RetryCounts() map[string]budget.History {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.budget.Counts(d.now())
+	return d.budget.Histories(d.now())
 }
 
 // HasRecentRequests reports whether this or another VM received requests within the window of the retry
@@ -193,7 +193,11 @@
 func (d *Dispatcher) ApplyTally(others tally.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.budget.SetPeerCounts(d.now(), others.VMs, others.Counts)
+	if counts := budget.Totals(others.Counts); others.CountsUnknown {
+		d.budget.SetPeerTraffic(counts)
+	} else {
+		d.budget.SetPeerCounts(d.now(), others.VMs, counts)
+	}
 	if others.Partial {
 		d.fleet.UpdateRemoteUsage(others.Loads, others.VMs)
 	} else {
