--- a/internal/edge/applytime_test.go
+++ b/internal/edge/applytime_test.go
@@ -42,6 +42,21 @@
 	g.Expect(time.Since(written)).To(BeNumerically("<=", vms[0].settings.ConfigApplyTime))
 }
 
+// readerOf returns the VM that reads the platform within a time.
+func readerOf(g *WithT, vms []*rig, within time.Duration) (reader *rig) {
+	for _, vm := range vms {
+		vm.storeConn.reads.Store(0)
+	}
+	time.Sleep(within)
+	for _, vm := range vms {
+		if vm.storeConn.reads.Load() > 0 {
+			reader = vm
+		}
+	}
+	g.Expect(reader).NotTo(BeNil())
+	return reader
+}
+
 // changed returns a configuration with one more route.
 func changed(version uint64) tableValue {
 	newer := table(version)
@@ -55,17 +70,7 @@
 	g := NewWithT(t)
 	store := newMemoryStore()
 	vms := newConfiguredVMs(t, store, 24)
-	var reader *rig
-	for _, vm := range vms {
-		vm.storeConn.reads.Store(0)
-	}
-	time.Sleep(1500 * time.Millisecond)
-	for _, vm := range vms {
-		if vm.storeConn.reads.Load() > 0 {
-			reader = vm
-		}
-	}
-	g.Expect(reader).NotTo(BeNil())
+	reader := readerOf(g, vms, 1500*time.Millisecond)
 	for _, vm := range vms {
 		vm.storeConn.cut.Store(true)
 	}
@@ -102,3 +107,24 @@
 		g.Eventually(served(vm), "1500ms", "20ms").Should(Equal(http.StatusOK))
 	}
 }
+
+// Guards against VMs that refuse keys because the one that reads for them is cut off from the
+// platform, where keys are trusted for less time than a change may take.
+func TestKeysStayTrustedWhenTheReaderIsCutOff(t *testing.T) {
+	g := NewWithT(t)
+	store := newMemoryStore()
+	store.set("config", "main", table(1))
+	vms := newVMs(t, store, 3, func(s *edge.Settings) { s.ConfigApplyTime, s.MaxProofAge = 6*time.Second, 2600*time.Millisecond })
+	vms[0].server("s1", ok)
+	for _, vm := range vms {
+		vm.Eventually(func() int { return vm.status("/plain/a", "r1") }, "5s").Should(Equal(http.StatusOK))
+	}
+	time.Sleep(2 * time.Second)
+	reader := readerOf(g, vms, 3*time.Second)
+	reader.storeConn.cut.Store(true)
+	for _, vm := range vms {
+		if vm != reader {
+			vm.Consistently(func() int { return vm.status("/plain/a", "r2") }, "3s", "20ms").Should(Equal(http.StatusOK))
+		}
+	}
+}
