Tell VMs that have started which request bodies crash servers

Found by looking for other state that ends with a process although the others have it: a VM that restarts doesn't know the blocked bodies. Gossip keeps the last report of each VM, which is empty soon after a finding, so each restart under the same name let a body crash servers again.

--- a/internal/core/poison/poison.go
+++ b/internal/core/poison/poison.go
@@ -197,6 +197,17 @@
 	return newly
 }
 
+// Findings returns the findings that count, the last changed first, up to a limit.
+func (t *Table) Findings(now time.Duration, limit int) []Finding {
+	var findings []Finding
+	for element := t.order.Back(); element != nil && len(findings) < limit; element = element.Prev() {
+		if finding := element.Value.(*Finding); !t.expired(now, finding) {
+			findings = append(findings, *finding)
+		}
+	}
+	return findings
+}
+
 // CompareBodies defines an order on bodies, so that decisions about several bodies
 // are the same in each replay.
 func CompareBodies(a, b Body) int {
--- a/internal/core/poison/poison_test.go
+++ b/internal/core/poison/poison_test.go
@@ -171,3 +171,15 @@
 	g.Expect(table.Level(59*time.Minute, body(1))).To(Equal(poison.Blocked))
 	g.Expect(table.Level(2*time.Hour, body(1))).To(Equal(poison.Clear), "a block expires")
 }
+
+// Guards against findings that a VM that has started isn't told, and against telling expired ones.
+func TestFindingsAreThoseThatCount(t *testing.T) {
+	g := NewWithT(t)
+	table := poison.New(poison.Options{SuspectTime: time.Minute, CondemnedTime: time.Hour})
+	suspect, blocked := poison.Body{Pipeline: "a", Hash: 1}, poison.Body{Pipeline: "a", Hash: 2}
+	table.MergeFinding(time.Second, poison.Finding{Body: suspect, Crashes: 1, Server: "s1", Incarnation: 1, At: time.Second})
+	table.MergeFinding(time.Second, poison.Finding{Body: blocked, Crashes: 3, Blocked: true, Server: "s2", Incarnation: 1, At: time.Second})
+	g.Expect(table.Findings(2*time.Second, 9)).To(ConsistOf(HaveField("Body", suspect), HaveField("Body", blocked)))
+	g.Expect(table.Findings(2*time.Minute, 9)).To(ConsistOf(HaveField("Body", blocked)))
+	g.Expect(table.Findings(2*time.Second, 1)).To(HaveLen(1))
+}
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -210,17 +210,29 @@
 
 // TakeFindings returns the findings since the last call, for the other VMs.
 func (h *Handler) TakeFindings() []Finding {
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	list := encodeFindings(bootclock.Now(), h.suspects.pendingFindings)
+	h.suspects.pendingFindings = nil
+	return list
+}
+
+// Findings returns the findings that count, for a VM that has started.
+func (h *Handler) Findings() []Finding {
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	now := bootclock.Now()
+	return encodeFindings(now, h.suspects.table.Findings(now, maxPendingFindings))
+}
+
+func encodeFindings(now time.Duration, findings []poison.Finding) []Finding {
 	var list []Finding
-	for _, f := range h.suspects.pendingFindings {
+	for _, f := range findings {
 		list = append(list, Finding{
 			Account: f.Account, Path: f.Pipeline, Hash: f.Hash, Crashes: f.Crashes, Condemned: f.Blocked, Suspected: f.Unproven,
 			Server: f.Server, Process: f.Incarnation, AgeMS: (now - f.At).Milliseconds(),
 		})
 	}
-	h.suspects.pendingFindings = nil
 	return list
 }
 
