--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,10 @@
 	// in its answers that it leaves, seconds before its entry does.
 	ServerPause Kind = "server_pause"
 	ServerSays  Kind = "server_says"
+	// VMSeries: a VM is killed again and again while a server rejects all requests. ReaderCut: the VM
+	// that reads the configuration for its data centre is cut off from the store.
+	VMSeries  Kind = "vm_series"
+	ReaderCut Kind = "store_reader"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -59,11 +63,12 @@
 	ServerCrash, ServerSilent, ServerResets, ServerDelay,
 }
 
-// rareKinds and signalKinds have separate plans. Each of these faults lasts for seconds, and kinds that
+// rareKinds, signalKinds and seriesKinds have separate plans. Each of these faults lasts for seconds, and kinds that
 // are added to the main plan would change the plans of all seeds.
 var (
 	rareKinds   = []Kind{StoreCopy, ServerRate}
 	signalKinds = []Kind{ServerPause, ServerSays}
+	seriesKinds = []Kind{VMSeries, ReaderCut}
 )
 
 // Fault is one fault of a plan.
@@ -117,6 +122,7 @@
 	if !calm {
 		plan = append(plan, rarePlan(rareKinds, seed, 1, within)...)
 		plan = append(plan, rarePlan(signalKinds, seed, 2, within)...)
+		plan = append(plan, rarePlan(seriesKinds, seed, 3, within)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
