--- a/internal/core/tally/counts.go
+++ b/internal/core/tally/counts.go
@@ -6,11 +6,16 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 )
 
-// Serve records that VMs use this hub now. After a break it knows only what VMs report that still
-// run, until it inherits counts from before or a window has passed.
+// Serve records that VMs use this hub now. When it begins to serve it knows only what VMs report that
+// still run, until it inherits counts from before or a window has passed. After a break it knows what
+// it knew before, and VMs that used another hub meanwhile pass on what that one knew.
 func (h *Hub) Serve(now time.Duration) {
 	if h.servedAt == 0 || now-h.servedAt > idlePeriod {
-		h.servingSince, h.inherited = now, Counts{}
+		h.inherited = Counts{}
+		if h.servedAt > 0 && now-h.servedAt < h.window && h.KnowsCounts(h.servedAt) {
+			h.inherited.At = h.servedAt
+		}
+		h.servingSince = now
 		if now < h.nothingBeforeUntil {
 			h.servingSince = now - h.window
 		}
--- a/internal/edge/tally_bench_test.go
+++ b/internal/edge/tally_bench_test.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
 )
@@ -54,7 +55,14 @@
 		remote: tally.Tally{VMs: vms, Loads: make(map[string]backends.Usage)},
 	}
 	for i := range h.reports {
-		h.reports[i], h.known[i] = tally.Tally{VMs: 1, Loads: make(map[string]backends.Usage)}, &tallyv1.Known{}
+		counts := map[string]budget.History{"llm": {}, "app": {}}
+		for service, history := range counts {
+			for age := range history {
+				history[age] = budget.Count{Requests: 2 + i%3, Retries: age % 2}
+			}
+			counts[service] = history
+		}
+		h.reports[i], h.known[i] = tally.Tally{VMs: 1, Loads: make(map[string]backends.Usage), Counts: counts}, &tallyv1.Known{}
 	}
 	return h
 }
@@ -75,7 +83,10 @@
 	}
 	for i := range h.reports {
 		changeLoads(h.reports[i].Loads, h.server, h.random)
-		request := &tallyv1.TellRequest{Vm: fmt.Sprint("vm-", i), Tally: encodeTally(h.reports[i], h.now), Known: h.known[i], Elsewhere: (round+i)%elsewhereRounds == 0}
+		request := &tallyv1.TellRequest{Vm: fmt.Sprint("vm-", i), Process: 1, Tally: encodeTally(h.reports[i], h.now), Known: h.known[i], Elsewhere: (round+i)%elsewhereRounds == 0}
+		for service, history := range h.reports[i].Counts {
+			request.Tally.Counts[service] = encodeCount(history)
+		}
 		answer := h.hub.answer(h.now, request, decodeTally(request.Tally, h.now))
 		h.known[i] = answer.Known
 		data, err := proto.Marshal(answer)
