--- a/internal/core/refresh/refresh_test.go
+++ b/internal/core/refresh/refresh_test.go
@@ -270,3 +270,14 @@
 	t.Logf("%d reads", sum)
 	g.Expect(sum).To(BeNumerically("<", 3100/2))
 }
+
+// Guards against a VM that starts with an old configuration of another VM and goes on with it.
+func TestOldProofIsReplacedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	for _, rank := range []int{0, 1, 5, 40} {
+		var s refresh.Schedule
+		s.SetApplyTime(applyTime)
+		step := s.Next(time.Minute, time.Minute-applyTime, refresh.Position{Rank: rank, VMs: 41})
+		g.Expect(step.Action).To(Equal(refresh.Read), "rank %d", rank)
+	}
+}
