--- a/internal/edge/applytime_test.go
+++ b/internal/edge/applytime_test.go
@@ -86,6 +86,28 @@
 	expectApplied(g, others, time.Now())
 }
 
+// Guards against followers that wait too long for a reader to whose reads the platform gives no
+// answer any more.
+func TestChangeIsInForceInTimeWithASilentReader(t *testing.T) {
+	g := NewWithT(t)
+	store := newMemoryStore()
+	vms := newConfiguredVMs(t, store, 24)
+	reader := readerOf(g, vms, 1500*time.Millisecond)
+	last := reader.storeConn.reads.Load()
+	g.Eventually(reader.storeConn.reads.Load, "3s", "5ms").ShouldNot(Equal(last))
+	// The worst moment for a change is just after a read.
+	reader.storeConn.silent.Store(true)
+	store.set("config", "main", changed(2))
+	written := time.Now()
+	var others []*rig
+	for _, vm := range vms {
+		if vm != reader {
+			others = append(others, vm)
+		}
+	}
+	expectApplied(g, others, written)
+}
+
 // Guards against VMs that hear of a newer configuration from another data centre and go on with
 // their own until their next read.
 func TestNewerConfigurationOfAnotherDataCentreIsFetched(t *testing.T) {
