Read at intervals what proves nothing

Found on reading the change: a configuration that is older than the one in force, as after a restore of the store, or that can't be decoded gives no younger proof, and the schedule read it again at once: 57 reads in 3 s by one VM. Such a read counts as failed now. Proofs count as the same within 0.2 s, so that a slow VM isn't answered at once again and again for the delay of its own queries.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -33,9 +33,9 @@
 	keptBuckets = 2 * HistoryLength
 	// sharedFraction is the fraction of the whole budget up to which any VM may retry while it
 	// has current counts of all other VMs, and reservedFraction the fraction of its own share
-	// that each VM always has: together they stay below the limit. The reserve
-	// grows with the age of the process until it is as old as the window, so that the processes
-	// of a VM that restarts again and again have one reserve together.
+	// that each VM always has: together they stay below the limit. The reserve grows with the
+	// age of the process until it is as old as the window, so that the processes of a VM that
+	// restarts again and again have one reserve together.
 	sharedFraction   = 0.88
 	reservedFraction = 0.1
 	// isolatedFraction is the fraction of its share that a VM has without counts of the others
@@ -54,8 +54,9 @@
 type Budget struct {
 	options  Options
 	services map[string]*window
-	// peers are the latest complete counts of all other VMs, and traffic the latest ones. maxVMs is the highest number of
-	// VMs that such counts covered, this one included, and maxVMsAt when that was received.
+	// peers are the latest complete counts of all other VMs, and traffic the latest ones.
+	// maxVMs is the highest number of VMs that complete counts covered, this one included, and
+	// maxVMsAt when that was received.
 	peers    peerCounts
 	traffic  map[string]Count
 	maxVMs   int
--- a/internal/core/refresh/refresh.go
+++ b/internal/core/refresh/refresh.go
@@ -44,7 +44,7 @@
 const (
 	// MinRenewal is by how much a proof must be younger to count as another one. The age of the
 	// same proof differs by the network delays on its way.
-	MinRenewal = 100 * time.Millisecond
+	MinRenewal = 200 * time.Millisecond
 	// retryInterval is the time from the start of a failed read to the next one, for the VM that
 	// reads for its data centre. It grows by half for each rank behind that VM: while the platform
 	// is unavailable, 195 VMs that each read twice a second make 3,100 billed calls in eight
@@ -133,7 +133,7 @@
 // Schedule is the state of one VM. Times are by its clock.
 type Schedule struct {
 	applyTime time.Duration
-	// readAt is the start of the last read, and readFailed whether it failed.
+	// readAt is the start of the last read, and readFailed whether it gave no younger proof.
 	readAt     time.Duration
 	readFailed bool
 	// source counts the changes of the source, the last one at switchedAt, and failed the
@@ -195,7 +195,7 @@
 	return min(retryInterval+time.Duration(max(rank, 0))*retryInterval/2, max(s.fraction(LastOwnAge), minLongestRetry))
 }
 
-// ReadEnded records a read that was sent at a time.
+// ReadEnded records a read that was sent at a time, and whether it gave no younger proof.
 func (s *Schedule) ReadEnded(sent time.Duration, failed bool) {
 	s.readAt, s.readFailed = sent, failed
 	if !failed {
