--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -209,12 +209,12 @@
 func (b *Budget) ownCount(now time.Duration, service string) Count {
 	w := b.window(now, service)
 	var count Count
-	for age := range int64(keptBuckets) {
-		at := w.at(age)
-		if age >= buckets {
-			at.Requests = 0
-		}
-		count = count.Add(at)
+	for i := range keptBuckets {
+		count.Requests += w.requests[i]
+		count.Retries += w.retries[i]
+	}
+	for age := int64(buckets); age < keptBuckets; age++ {
+		count.Requests -= w.at(age).Requests
 	}
 	return count
 }
--- a/internal/edge/applytime_test.go
+++ b/internal/edge/applytime_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/edge"
 )
@@ -39,22 +41,19 @@
 		time.Sleep(5 * time.Millisecond)
 	}
 	g.Expect(left).To(BeEmpty())
-	g.Expect(time.Since(written)).To(BeNumerically("<=", vms[0].settings.ConfigApplyTime))
+	took := time.Since(written)
+	vms[0].t.Logf("in force on all after %s", took)
+	g.Expect(took).To(BeNumerically("<=", vms[0].settings.ConfigApplyTime))
 }
 
-// readerOf returns the VM that reads the platform within a time.
-func readerOf(g *WithT, vms []*rig, within time.Duration) (reader *rig) {
+// readerOf returns the VM that reads for the others, which all know one another.
+func readerOf(vms []*rig) *rig {
+	var ranked []lease.VM
 	for _, vm := range vms {
-		vm.storeConn.reads.Store(0)
+		ranked = append(ranked, lease.VM{Name: vm.settings.VM, DataCentre: vm.settings.DataCentre})
 	}
-	time.Sleep(within)
-	for _, vm := range vms {
-		if vm.storeConn.reads.Load() > 0 {
-			reader = vm
-		}
-	}
-	g.Expect(reader).NotTo(BeNil())
-	return reader
+	first := lease.Rank("tally", vms[0].settings.DataCentre, ranked)[0]
+	return vms[slices.IndexFunc(vms, func(vm *rig) bool { return vm.settings.VM == first.Name })]
 }
 
 // changed returns a configuration with one more route.
@@ -70,7 +69,7 @@
 	g := NewWithT(t)
 	store := newMemoryStore()
 	vms := newConfiguredVMs(t, store, 24)
-	reader := readerOf(g, vms, 1500*time.Millisecond)
+	reader := readerOf(vms)
 	for _, vm := range vms {
 		vm.storeConn.cut.Store(true)
 	}
@@ -92,7 +91,7 @@
 	g := NewWithT(t)
 	store := newMemoryStore()
 	vms := newConfiguredVMs(t, store, 24)
-	reader := readerOf(g, vms, 1500*time.Millisecond)
+	reader := readerOf(vms)
 	last := reader.storeConn.reads.Load()
 	g.Eventually(reader.storeConn.reads.Load, "3s", "5ms").ShouldNot(Equal(last))
 	// The worst moment for a change is just after a read.
@@ -133,7 +132,6 @@
 // Guards against VMs that refuse keys because the one that reads for them is cut off from the
 // platform, where keys are trusted for less time than a change may take.
 func TestKeysStayTrustedWhenTheReaderIsCutOff(t *testing.T) {
-	g := NewWithT(t)
 	store := newMemoryStore()
 	store.set("config", "main", table(1))
 	vms := newVMs(t, store, 3, func(s *edge.Settings) { s.ConfigApplyTime, s.MaxProofAge = 6*time.Second, 2600*time.Millisecond })
@@ -142,7 +140,7 @@
 		vm.Eventually(func() int { return vm.status("/plain/a", "r1") }, "5s").Should(Equal(http.StatusOK))
 	}
 	time.Sleep(2 * time.Second)
-	reader := readerOf(g, vms, 3*time.Second)
+	reader := readerOf(vms)
 	reader.storeConn.cut.Store(true)
 	for _, vm := range vms {
 		if vm != reader {
