--- a/internal/core/refresh/refresh.go
+++ b/internal/core/refresh/refresh.go
@@ -160,11 +160,11 @@
 		s.failed = 0
 		return Step{Action: Wait, Until: min(due, now+s.fraction(pauseTime))}
 	}
-	until := now + s.fraction(pollTime)
-	if index := s.source % len(sources); index == 0 {
+	index, until := s.source%len(sources), now+s.fraction(pollTime)
+	if index == 0 {
 		until = max(until, provenAt+s.fraction(switchAge+float64(p.hops()-1)*switchAgePerHop))
 	}
-	return Step{Action: Follow, Source: sources[s.source%len(sources)], Until: min(until, last), Deadline: due}
+	return Step{Action: Follow, Source: sources[index], Until: min(until, last), Deadline: due}
 }
 
 // due returns when the VM reads unless it gets a younger proof.
