Count first attempts by outcome and way, and let tests cut a VM off from servers

On-call could not read from logs or metrics which share of first attempts a VM serves: refusals name a reason, but nothing counts the first attempts that were served. oleandershunt_relay_first_attempts_total counts them by outcome and way. No decision changed.

go test ./internal/edge ./internal/relay ./internal/wire ./platform/... pass.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -63,6 +63,8 @@
 	OnUnresponsive func(id string)
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
+	// Dial opens connections to backend servers. Nil means wire.Dial.
+	Dial wire.DialFunc
 }
 
 // Handler serves callers' requests.
@@ -81,7 +83,10 @@
 
 // New returns a handler.
 func New(options Options) *Handler {
-	pooled, fresh := wire.Transports(connectTimeout, nil, idleConnsPerServer)
+	if options.Dial == nil {
+		options.Dial = wire.Dial
+	}
+	pooled, fresh := wire.TransportsVia(options.Dial, connectTimeout, nil, idleConnsPerServer)
 	return &Handler{
 		Options:        options,
 		pooled:         pooled,
@@ -119,6 +124,8 @@
 	allowed []string
 	// sends counts the attempts sent to a server, and refusals those reported as not run.
 	sends, refusals int
+	// firstRecorded says that the outcome of the first attempt was counted.
+	firstRecorded bool
 	// retryReserved says that the next attempt's retry was already taken from the budget.
 	retryReserved bool
 	// mayHaveRun says that a server may have begun to run the request.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -20,10 +20,12 @@
 	for {
 		o, err := h.choose(x, wait)
 		if err != nil {
+			x.recordFirst(firstNone, wayNone)
 			h.refuse(x, x.finalRefusal(reason))
 			return
 		}
 		body, result := h.attemptPlain(x, o)
+		x.recordFirstAttempt(o, result)
 		final := result == responded && (o.response.StatusCode < http.StatusInternalServerError || !h.retryServerFailure(x, o))
 		if final {
 			h.writeResponse(x, o, body)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -27,10 +27,12 @@
 	for {
 		o, err := h.choose(x, wait)
 		if err != nil {
+			x.recordFirst(firstNone, wayNone)
 			h.abandon(x, started, reason)
 			return
 		}
 		result, done := h.attemptStream(x, o, &started)
+		x.recordFirstAttempt(o, result)
 		o.close(h.Dispatcher)
 		if done && result != responded {
 			// The caller disconnected or only closed its side: its response must not end like a
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -44,15 +44,28 @@
 	return n, err
 }
 
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dial opens a connection that ends when its peer goes silent; see EndSilent.
+func Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Control: EndSilent}
+	return dialer.DialContext(ctx, network, address)
+}
+
 // Transport makes an HTTP/1.1 transport whose connects end after a time by the
 // clock and whose requests can be watched with WatchSent. The clock may be nil.
 func Transport(connect time.Duration, clock *schedclock.Clock) *http.Transport {
-	dialer := net.Dialer{Control: EndSilent}
+	return TransportVia(Dial, connect, clock)
+}
+
+// TransportVia is Transport with a dial function.
+func TransportVia(dial DialFunc, connect time.Duration, clock *schedclock.Clock) *http.Transport {
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			limited, cancel := clock.WithTimeout(ctx, connect)
 			defer cancel()
-			conn, err := dialer.DialContext(limited, network, address)
+			conn, err := dial(limited, network, address)
 			if err != nil {
 				return nil, err
 			}
@@ -85,9 +98,14 @@
 // from one that ran just before the peer closed; what must not run twice takes
 // the second. The clock may be nil.
 func Transports(connect time.Duration, clock *schedclock.Clock, idlePerHost int) (pooled, fresh *http.Transport) {
-	pooled = Transport(connect, clock)
+	return TransportsVia(Dial, connect, clock, idlePerHost)
+}
+
+// TransportsVia is Transports with a dial function.
+func TransportsVia(dial DialFunc, connect time.Duration, clock *schedclock.Clock, idlePerHost int) (pooled, fresh *http.Transport) {
+	pooled = TransportVia(dial, connect, clock)
 	pooled.MaxIdleConnsPerHost = idlePerHost
-	fresh = Transport(connect, clock)
+	fresh = TransportVia(dial, connect, clock)
 	fresh.DisableKeepAlives = true
 	return pooled, fresh
 }
