Reach backend servers through another VM while the own paths are lost

Callers of a VM that had lost its paths to all servers were served 4 of 215 first attempts. A VM sent a request to a server directly or not at all; each dial took 400 ms, put one server aside for a second, and used a retry of all VMs.

internal/core/reach decides from the results of connects how to connect: directly, or through another VM while other VMs reach the server and this one doesn't. internal/tunnel carries the connection: an HTTP CONNECT to the peer server of that VM, which copies bytes, for registered servers only. The exchange stays with the VM that took the request: attempts, retries, keys, deadlines and rates count there, and nothing is sent twice, since the second way is tried only if no connection was made. Reports and orders of model servers go the same way. Streams in progress over connections that get no response are resumed; connections that live on while new ones are refused are used on. Lost paths are probed without requests. Where no VM reaches a server, requests are refused at once and take no retries. A VM that stops opens no tunnels and finishes those it has.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -58,6 +58,9 @@
 	missingRevision history.Version
 	// suspectUntil is when a server that failed may get requests again.
 	suspectUntil time.Duration
+	// silentUntil is until when the server gets no requests because it doesn't respond. It ends
+	// when the server responds.
+	silentUntil time.Duration
 	// fullUntil is until when the server counts as full because it rejected this VM's requests.
 	fullUntil time.Duration
 	// remoteFullUntil is the same as reported by other VMs. It is not forwarded.
@@ -289,6 +292,26 @@
 	}
 }
 
+// MarkSilent keeps new requests off the servers at an address, which don't respond, for a time or
+// until MarkResponding.
+func (f *Fleet) MarkSilent(now time.Duration, address string, span time.Duration) {
+	for _, s := range f.index.atAddressOrName(address, "") {
+		s.silentUntil = max(s.silentUntil, now+span)
+	}
+}
+
+// MarkResponding records that the servers at an address respond again.
+func (f *Fleet) MarkResponding(address string) {
+	for _, s := range f.index.atAddressOrName(address, "") {
+		s.silentUntil = 0
+	}
+}
+
+// HasAddress reports whether a server is registered at an address.
+func (f *Fleet) HasAddress(address string) bool {
+	return len(f.index.atAddressOrName(address, "")) > 0
+}
+
 // A server that rejected a request for lack of capacity counts as full for minFullBackoff at first:
 // a request or two end there in that time. The time doubles up to maxFullBackoff while the server
 // goes on rejecting, since a blocked server takes seconds to recover and each try costs a request
@@ -418,5 +441,5 @@
 	if s.DataCentre != request.DataCentre && now < f.unreachableUntil[s.DataCentre] {
 		return false
 	}
-	return !s.Draining && now >= s.suspectUntil && !f.isPaused(now, s.ID, request) && !slices.Contains(request.Avoid, s.ID)
+	return !s.Draining && now >= max(s.suspectUntil, s.silentUntil) && !f.isPaused(now, s.ID, request) && !slices.Contains(request.Avoid, s.ID)
 }
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -43,8 +43,9 @@
 	pausedUntil atomic.Int64
 
 	mu sync.Mutex
-	// runs counts the runs of each request by its ID.
-	runs map[string]int
+	// runs counts the runs of each request by its ID, and timeouts holds their remaining times.
+	runs     map[string]int
+	timeouts map[string]time.Duration
 }
 
 // newCutoffRig starts a VM in each data centre given, two plain servers and two model servers.
@@ -60,7 +61,7 @@
 
 // newEmptyCutoffRig starts the VMs without servers.
 func newEmptyCutoffRig(t *testing.T, dataCentres ...string) *cutoffRig {
-	r := &cutoffRig{WithT: NewWithT(t), t: t, store: newMemoryStore(), runs: make(map[string]int), release: make(chan struct{})}
+	r := &cutoffRig{WithT: NewWithT(t), t: t, store: newMemoryStore(), runs: make(map[string]int), timeouts: make(map[string]time.Duration), release: make(chan struct{})}
 	stream := route("/stream/", routes.Resumable, true)
 	stream.TargetLatency, stream.Timeout = 500*time.Millisecond, 20*time.Second
 	stream.Shares = []routes.Share{{Service: "llm", Weight: 1}}
@@ -109,9 +110,7 @@
 	if request.URL.Path == "/report" {
 		return
 	}
-	r.mu.Lock()
-	r.runs[request.Header.Get("X-Request-Id")]++
-	r.mu.Unlock()
+	r.record(request)
 	sign(w, request)
 	switch {
 	case strings.HasPrefix(request.URL.Path, "/stream/"):
@@ -125,6 +124,16 @@
 	}
 }
 
+// record records a run.
+func (r *cutoffRig) record(request *http.Request) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := request.Header.Get("X-Request-Id")
+	r.runs[id]++
+	milliseconds, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms")) // 0 without the header
+	r.timeouts[id] = time.Duration(milliseconds) * time.Millisecond
+}
+
 // stream sends the events after the last one that the caller has.
 func (r *cutoffRig) stream(w http.ResponseWriter, request *http.Request) {
 	after, _ := strconv.Atoi(request.Header.Get("Last-Event-Id")) // 0 without the header
@@ -342,3 +351,87 @@
 	r.Eventually(func() int { return r.vms[0].status("/stream/a", "after") }, "600ms", "50ms").Should(Equal(http.StatusOK))
 	r.Expect(<-body).To(Equal(wholeStream()))
 }
+
+// Guards against running a request twice, or cutting it, when the VM in between stops as planned.
+func TestAtMostOnceRequestOutlivesThePlannedStopOfTheVMInBetween(t *testing.T) {
+	t.Parallel()
+	r := newCutoffRig(t, "a", "a")
+	r.links[0].set(linkSilent)
+	r.trafficFor(time.Second, r.vms[0])
+	status := make(chan int)
+	go func() { status <- r.vms[0].status("/once/slow", "stopped") }()
+	r.Eventually(r.held.Load, "2s").Should(BeEquivalentTo(1))
+	r.vms[1].stop()
+	r.Expect(<-status).To(Equal(http.StatusOK))
+	r.Expect(r.runsOf("stopped")).To(Equal(1))
+}
+
+// Guards against going on through other VMs once the direct paths work again.
+func TestDirectPathsAreUsedAgain(t *testing.T) {
+	for name, state := range cutStates {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newCutoffRig(t, "a", "a")
+			r.links[0].set(state)
+			r.trafficFor(time.Second, r.vms[0])
+			r.links[0].set(linkUp)
+			passesOther := func() bool {
+				before := r.links[1].opened()
+				r.Expect(r.vms[0].status("/once/a", "again")).To(Equal(http.StatusOK))
+				return r.links[1].opened() > before
+			}
+			r.Eventually(passesOther, "1s", "20ms").Should(BeFalse())
+			r.Consistently(passesOther, "500ms", "20ms").Should(BeFalse())
+		})
+	}
+}
+
+// Guards against handing a server the whole time of the caller after a part of it was spent on the
+// direct path.
+func TestTimeSpentOnALostPathIsTakenOffTheDeadline(t *testing.T) {
+	t.Parallel()
+	r := newCutoffRig(t, "a", "a")
+	r.links[0].set(linkSilent)
+	const limit, spent = 3 * time.Second, 100 * time.Millisecond
+	request, err := http.NewRequest(http.MethodGet, "http://"+r.vms[0].settings.CallerAddress+"/once/a", nil)
+	r.Expect(err).NotTo(HaveOccurred())
+	request.Host = "app.example"
+	request.Header.Set("X-Request-Id", "timed")
+	request.Header.Set("X-Api-Key", "key")
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(limit.Milliseconds(), 10))
+	response, err := http.DefaultClient.Do(request)
+	r.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	r.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Expect(r.timeouts["timed"]).To(BeNumerically("<=", limit-spent))
+}
+
+// Guards against using a server's rate twice: by the VM that sends through another one, and by that
+// one.
+func TestServerRateLimitHoldsThroughOtherVMs(t *testing.T) {
+	t.Parallel()
+	r := newEmptyCutoffRig(t, "a", "a", "a")
+	limited := &limitedServer{perSecond: 4}
+	r.vms[0].server("limited", limited.ServeHTTP)
+	free := r.vms[0].server("free", ok)
+	r.store.set("servers", "free", backends.Server{Service: "app", Address: free.Listener.Addr().String(), DataCentre: "b", Slots: 4})
+	for _, vm := range r.vms {
+		r.Expect(vm.callUntilOK("/plain/a", "r0").Body.Close()).To(Succeed())
+	}
+	r.links[0].set(linkSilent)
+	const contact, span, every = 3 * time.Second, 4 * time.Second, 100 * time.Millisecond
+	var callers sync.WaitGroup
+	for _, vm := range r.vms {
+		callers.Go(func() {
+			for sent := range int((contact + 2*span) / every) {
+				vm.status("/once/a", fmt.Sprint("r", sent))
+				time.Sleep(every)
+			}
+		})
+	}
+	callers.Wait()
+	r.Expect(limited.maxWithin(span, contact)).To(BeNumerically("<=", 1.5*span.Seconds()*limited.perSecond+5))
+	r.Expect(limited.maxWithin(span, contact)).To(BeNumerically(">=", span.Seconds()*limited.perSecond/4), "the limited server is still used")
+}
--- a/internal/edge/membership.go
+++ b/internal/edge/membership.go
@@ -34,8 +34,13 @@
 	mu sync.Mutex
 	// ranks are the live or local VMs by the role for which they are ranked.
 	ranks map[rankKey][]lease.VM
+	// others are the names of the other live VMs, once they were asked for.
+	others *otherNames
 }
 
+// otherNames are the names of the other live VMs of this data centre and of all others.
+type otherNames struct{ local, remote []string }
+
 type rankKey struct {
 	role, home string
 	localOnly  bool
@@ -78,6 +83,25 @@
 	return v.rank(rankKey{role: role, home: home, localOnly: true}, v.local)
 }
 
+// otherNames returns the names of the live VMs but self, of a data centre and of all others.
+func (v *membershipView) otherNames(self, dataCentre string) (local, remote []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.others == nil {
+		v.others = &otherNames{}
+		for _, vm := range v.live {
+			switch {
+			case vm.Name == self:
+			case vm.DataCentre == dataCentre:
+				v.others.local = append(v.others.local, vm.Name)
+			default:
+				v.others.remote = append(v.others.remote, vm.Name)
+			}
+		}
+	}
+	return v.others.local, v.others.remote
+}
+
 func (v *membershipView) rank(key rankKey, vms []lease.VM) []lease.VM {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- /dev/null
+++ b/internal/edge/tunnels.go
@@ -0,0 +1,22 @@
+package edge
+
+import (
+	"net/http"
+
+	"oleandershunt.example/oleandershunt/internal/bootclock"
+	"oleandershunt.example/oleandershunt/internal/relay"
+	"oleandershunt.example/oleandershunt/internal/serverconn"
+	"oleandershunt.example/oleandershunt/internal/tunnel"
+)
+
+// connectTunnels lets this VM reach servers through the others, and the others through this one.
+func (t *peerNetwork) connectTunnels(servers *serverconn.Connector, dispatcher *relay.Dispatcher) *tunnel.Server {
+	servers.SetTunnels(tunnel.NewDialer(tunnel.DialerOptions{
+		VMs:    func() (local, remote []string) { return t.members.current().otherNames(t.self, t.dataCentre) },
+		DialVM: t.dialer.DialVM,
+		Header: func(vm string) http.Header { return t.identity.Header(vm) },
+		Now:    bootclock.Now,
+	}))
+	t.tunnels = tunnel.NewServer(tunnel.ServerOptions{Connect: servers.ConnectForPeer, Registered: dispatcher.Registered})
+	return t.tunnels
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
+	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -63,6 +66,8 @@
 	ctx    context.Context
 	// watchdog may move the attempt to another choice until it is stopped. Nil for none.
 	watchdog *watchdog
+	// sent is the request as it was last sent.
+	sent atomic.Pointer[wire.Sent]
 }
 
 // recordProgress reports to the watchdog that the attempt delivered events.
@@ -89,17 +94,10 @@
 
 // send makes the attempt and reads the head of its response.
 func (h *Handler) send(x *exchange, o *openAttempt) outcome {
-	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.stillAccepts(o.sentTo) })
-	request := h.serverRequest(ctx, x, o.sentTo)
-	transport := h.pooled
-	if x.route.Repeat == routes.AtMostOnce {
-		transport = h.fresh
-	}
 	h.countRateLimited(x, o)
 	x.sends++
 	start := time.Now()
-	o.sentAt = bootclock.Now()
-	response, err := transport.RoundTrip(request)
+	response, sent, err := h.roundTrip(x, o)
 	if sent.Withheld() {
 		o.stopWatchdog()
 		return h.handleWithheld(x, o)
@@ -125,6 +123,32 @@
 	return responded
 }
 
+// roundTrip sends the request to the server directly, or through another VM if the connect fails.
+// Both are one attempt, since the server gets at most one of them.
+func (h *Handler) roundTrip(x *exchange, o *openAttempt) (*http.Response, *wire.Sent, error) {
+	transport := h.transports.Pooled
+	if x.route.Repeat == routes.AtMostOnce {
+		transport = h.transports.Fresh
+	}
+	response, sent, err := h.sendOver(transport, x, o)
+	if err == nil || sent.Connected() || o.ctx.Err() != nil {
+		return response, sent, err
+	}
+	response, sent, errThrough := h.sendOver(h.transports.Through, x, o)
+	if errThrough != nil && !sent.Connected() {
+		return nil, sent, fmt.Errorf("%w; through another VM: %w", err, errThrough)
+	}
+	return response, sent, errThrough
+}
+
+func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt) (*http.Response, *wire.Sent, error) {
+	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.stillAccepts(o.sentTo) })
+	o.sent.Store(sent)
+	o.sentAt = bootclock.Now()
+	response, err := transport.RoundTrip(h.serverRequest(ctx, x, o.sentTo))
+	return response, sent, err
+}
+
 // handleWithheld handles an attempt that wasn't sent because its server stopped accepting
 // requests before the request was written.
 func (h *Handler) handleWithheld(x *exchange, o *openAttempt) outcome {
@@ -149,15 +173,14 @@
 	telemetry.RelayAttemptFailed.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "sent", sent, "cause", err.Error())...)
 	if !sent {
 		h.Dispatcher.suspect(o.choice.First.ID, suspectUnreachable)
-		if isConnectionRefused(err) {
+		if errors.Is(err, syscall.ECONNREFUSED) {
 			h.suspects.recordConnectionRefused(o.choice.First)
 		}
 		x.avoid = append(x.avoid, o.choice.First.ID)
 		x.refusals++
 		return notExecuted
 	}
-	h.recordBrokenConnection(x, o, err)
-	x.recordFailure(o.choice)
+	h.recordBroken(x, o, err)
 	return uncertain
 }
 
@@ -196,8 +219,13 @@
 // recordFailure records that a server may have run the request and did not return a valid
 // response.
 func (x *exchange) recordFailure(choice backends.Choice) {
-	x.mayHaveRun = true
 	x.avoid = append(x.avoid, choice.First.ID)
+	x.recordRan(choice)
+}
+
+// recordRan records that a server may have run the request.
+func (x *exchange) recordRan(choice backends.Choice) {
+	x.mayHaveRun = true
 	if !slices.Contains(x.ranOn, choice.First.ID) && !slices.Contains(x.cutByDrain, choice.First.ID) {
 		x.ranOn = append(x.ranOn, choice.First.ID)
 	}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -76,7 +76,7 @@
 			x.deferReason = deferralReason(deferral)
 			x.retryIn, tooLate = entry.tooLate(deferral, timeLeft)
 		}
-		if tooLate || request.IgnoreCapacity {
+		if tooLate || request.IgnoreCapacity || errors.Is(err, backends.ErrNoServer) && h.isolated(x) {
 			x.detail = err.Error()
 			return nil, err
 		}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -251,6 +251,31 @@
 	d.fleet.Suspect(d.now(), id, span)
 }
 
+// markSilent keeps new requests off the servers at addresses, which don't respond, for span or
+// until markResponding.
+func (d *Dispatcher) markSilent(span time.Duration, addresses ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range addresses {
+		d.fleet.MarkSilent(d.now(), address, span)
+	}
+}
+
+func (d *Dispatcher) markResponding(addresses ...string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, address := range addresses {
+		d.fleet.MarkResponding(address)
+	}
+}
+
+// Registered reports whether a backend server is registered at an address.
+func (d *Dispatcher) Registered(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.HasAddress(address)
+}
+
 // markUnresponsive keeps new requests off a server that doesn't respond. confirmed says that
 // another server found it unresponsive.
 func (d *Dispatcher) markUnresponsive(id string, confirmed bool) {
--- a/internal/relay/firstattempt.go
+++ b/internal/relay/firstattempt.go
@@ -24,6 +24,7 @@
 // Ways from this VM to a server, as counted in metrics.
 const (
 	wayDirect = "direct"
+	wayVM     = "vm" // through another VM
 	wayNone   = "none"
 )
 
@@ -41,12 +42,12 @@
 	switch {
 	case result == unsent: // no attempt
 	case x.r.Context().Err() != nil:
-		x.recordFirst(firstLeft, wayDirect)
+		x.recordFirst(firstLeft, o.way())
 	case result == responded && o.response.StatusCode < http.StatusInternalServerError:
-		x.recordFirst(firstServed, wayDirect)
+		x.recordFirst(firstServed, o.way())
 	case result == notExecuted:
-		x.recordFirst(firstRefused, wayDirect)
+		x.recordFirst(firstRefused, o.way())
 	default:
-		x.recordFirst(firstFailed, wayDirect)
+		x.recordFirst(firstFailed, o.way())
 	}
 }
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -16,17 +16,16 @@
 	"github.com/go-logr/logr"
 	"golang.org/x/time/rate"
 
+	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/poison"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/serverconn"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 	"oleandershunt.example/oleandershunt/internal/wire"
 )
 
 // Limits and defaults of the handler.
 const (
-	// connectTimeout bounds a connect to a backend server. The network round trip takes a
-	// millisecond; a partitioned or powered-off server doesn't respond at all.
-	connectTimeout = 400 * time.Millisecond
 	// idleConnsPerServer is the number of idle connections kept to each server.
 	idleConnsPerServer = 8
 	// maxBufferedBodyBytes bounds the bytes of all request bodies in memory, so that many large
@@ -63,19 +62,22 @@
 	OnUnresponsive func(id string)
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
-	// Dial opens connections to backend servers. Nil means wire.Dial.
-	Dial wire.DialFunc
+	// Servers connects to backend servers. Nil means directly only.
+	Servers *serverconn.Connector
 }
 
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	pooled, fresh http.RoundTripper
-	bodyBytes     atomic.Int64
-	inFlight      atomic.Int64
-	watchdogs     watchdogSet
-	reports       *reportCache
-	suspects      *poisonSuspects
+	transports  serverconn.Transports
+	bodyBytes   atomic.Int64
+	inFlight    atomic.Int64
+	watchdogs   *attemptSet[*watchdog]
+	pathWatches *attemptSet[*pathWatch]
+	reports     *reportCache
+	suspects    *poisonSuspects
+	// pathCheckLimiter limits the checks of paths by attempts without a watchdog.
+	pathCheckLimiter *rate.Limiter
 	// lateLogLimiter limits the log lines on late responses.
 	lateLogLimiter *rate.Limiter
 	signals        *Signals
@@ -83,20 +85,22 @@
 
 // New returns a handler.
 func New(options Options) *Handler {
-	if options.Dial == nil {
-		options.Dial = wire.Dial
+	if options.Servers == nil {
+		options.Servers = serverconn.New(serverconn.Options{Log: options.Log, Dial: wire.Dial, Now: bootclock.Now})
 	}
-	pooled, fresh := wire.TransportsVia(options.Dial, connectTimeout, nil, idleConnsPerServer)
-	return &Handler{
-		Options:        options,
-		pooled:         pooled,
-		fresh:          fresh,
-		reports:        newReportCache(options.Engines),
-		suspects:       newPoisonSuspects(),
-		watchdogs:      watchdogSet{members: make(map[*watchdog]struct{})},
-		lateLogLimiter: rate.NewLimiter(lateLogsPerSecond, lateLogBurst),
-		signals:        NewSignals(options.Log, options.Dispatcher),
+	h := &Handler{
+		Options:          options,
+		transports:       options.Servers.Transports(idleConnsPerServer),
+		reports:          newReportCache(options.Engines),
+		suspects:         newPoisonSuspects(),
+		watchdogs:        newAttemptSet[*watchdog](),
+		pathWatches:      newAttemptSet[*pathWatch](),
+		pathCheckLimiter: rate.NewLimiter(pathChecksPerSecond, 1),
+		lateLogLimiter:   rate.NewLimiter(lateLogsPerSecond, lateLogBurst),
+		signals:          NewSignals(options.Log, options.Dispatcher),
 	}
+	options.Servers.SetListener(pathListener{h})
+	return h
 }
 
 // InFlight returns the number of requests being served.
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -102,17 +102,26 @@
 	first := w.o.choice.First.ID
 	request := w.request
 	request.Avoid = append(w.avoidedLocked(), first)
+	if w.reserveRetryLocked(request, first) {
+		w.o.cancel(errStalled)
+		return true
+	}
+	w.resetTimerLocked(w.h.StallTimeout / 2)
+	return false
+}
+
+// reserveRetryLocked reserves a retry if a path for the request exists and it may run again; first
+// is the server that runs it now. It must be called with the lock held.
+func (w *watchdog) reserveRetryLocked(request backends.Request, first string) bool {
 	_, err := w.h.Dispatcher.preview(w.x.service, request)
 	mayRun := w.h.mayRunAgain(w.x, w.sends) && w.h.mayRunElsewhere(w.x, append(slices.Clone(w.ranOn), first))
 	if err == nil && mayRun && w.h.Dispatcher.takeRetry(w.x.service.Name, 1) {
 		w.retryReserved = true
-		w.o.cancel(errStalled)
 		return true
 	}
 	if !w.waitLogged {
 		w.waitLogged = true
 		telemetry.RelayWaits.Log(w.h.Log, "request", w.x.call.ID, "first", first, "sends", w.sends, "cause", telemetry.Cause(err))
 	}
-	w.resetTimerLocked(w.h.StallTimeout / 2)
 	return false
 }
--- /dev/null
+++ b/internal/relay/pathloss.go
@@ -0,0 +1,218 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/serverconn"
+	"oleandershunt.example/oleandershunt/internal/telemetry"
+	"oleandershunt.example/oleandershunt/internal/tunnel"
+)
+
+const (
+	// lostPathSilence is how long an attempt over a lost path may be silent: events come 20 to 50 ms
+	// apart, and a response may be on its way when the path is lost.
+	lostPathSilence = 150 * time.Millisecond
+	// unreachableTime keeps new requests off a server that no VM reaches. It is renewed at each
+	// probe.
+	unreachableTime = time.Second
+	// pathChecksPerSecond limits the checks of paths by attempts without a watchdog. Each opens a
+	// connection, which may take a slot of a small server.
+	pathChecksPerSecond = 1
+)
+
+// errPathLost is the cancellation cause of an attempt whose server is reached by other VMs only.
+var errPathLost = errors.New("path to the backend server is lost")
+
+// tunnel returns the connection through another VM over which the attempt was sent, or nil.
+func (o *openAttempt) tunnel() *tunnel.Conn {
+	sent := o.sent.Load()
+	if sent == nil {
+		return nil
+	}
+	conn, _ := sent.Conn().(*tunnel.Conn)
+	return conn
+}
+
+// sentDirectly reports whether the request has left this VM, over a direct connection.
+func (o *openAttempt) sentDirectly() bool {
+	sent := o.sent.Load()
+	return sent != nil && sent.Any() && o.tunnel() == nil
+}
+
+// way returns the way to the server, as counted in metrics.
+func (o *openAttempt) way() string {
+	if o.tunnel() != nil {
+		return wayVM
+	}
+	return wayDirect
+}
+
+// isolated reports whether no VM reaches a server. A request whose response has begun waits all the
+// same.
+func (h *Handler) isolated(x *exchange) bool { return x.events == 0 && h.Servers.Isolated() }
+
+// brokenByPath reports whether an attempt was ended because this VM's path to the server is lost.
+func (h *Handler) brokenByPath(_ *exchange, o *openAttempt, _ error) bool {
+	return errors.Is(context.Cause(o.ctx), errPathLost)
+}
+
+// pathListener acts on what is found out about the paths to servers.
+type pathListener struct{ h *Handler }
+
+// PathsLost implements serverconn.Listener.
+func (l pathListener) PathsLost() {
+	for _, w := range l.h.watchdogs.list() {
+		go w.endIfPathLost()
+	}
+	for _, p := range l.h.pathWatches.list() {
+		go p.endIfPathLost()
+	}
+}
+
+// Unreachable implements serverconn.Listener. No request is used to find out whether the servers
+// are reached again.
+func (l pathListener) Unreachable(addresses []string) {
+	l.h.Dispatcher.markSilent(unreachableTime, addresses...)
+}
+
+// Reachable implements serverconn.Listener.
+func (l pathListener) Reachable(addresses []string) { l.h.Dispatcher.markResponding(addresses...) }
+
+// endIfPathLost ends a silent attempt whose path is lost so that it is resumed, and reports whether
+// the path is lost.
+func (w *watchdog) endIfPathLost() bool {
+	w.mu.Lock()
+	first, silence := w.o.choice.First, time.Since(w.lastActivity)
+	w.mu.Unlock()
+	if !w.o.sentDirectly() || !w.h.Servers.SilentlyLost(first.Address) {
+		return false
+	}
+	if silence < lostPathSilence {
+		w.resetTimer(lostPathSilence - silence)
+		return true
+	}
+	w.endForPathLoss()
+	return true
+}
+
+// endForPathLoss ends the attempt if it can be resumed, possibly on the same server.
+func (w *watchdog) endForPathLoss() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended || w.retryReserved {
+		return
+	}
+	first := w.o.choice.First
+	request := w.request
+	request.Avoid = w.avoidedLocked()
+	if w.reserveRetryLocked(request, first.ID) {
+		telemetry.RelayPathLost.Log(w.h.Log, "request", w.x.call.ID, "server", first.ID)
+		w.o.cancel(errPathLost)
+		return
+	}
+	w.resetTimerLocked(w.h.StallTimeout / 2)
+}
+
+// handleNoReport handles a first server that sent no report: its path is lost, it is silent for a
+// moment, or it has ended.
+func (w *watchdog) handleNoReport(first backends.Server, err error) {
+	verdict := w.h.Servers.Check(w.o.ctx, first.Address)
+	switch {
+	case w.o.ctx.Err() != nil:
+	case verdict == serverconn.PathLost && w.endIfPathLost():
+	case verdict == serverconn.Unknown && w.h.Servers.Isolated():
+		w.resetTimer(w.h.StallTimeout / 2)
+	default:
+		w.logStalled(first, err)
+		w.h.MarkUnresponsive(first.ID, false)
+	}
+}
+
+func (w *watchdog) logStalled(first backends.Server, err error) {
+	telemetry.RelayStalled.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
+}
+
+// pathWatch ends an attempt without a watchdog whose path is lost.
+type pathWatch struct {
+	h     *Handler
+	x     *exchange
+	o     *openAttempt
+	timer *time.Timer
+	start time.Time
+}
+
+// watchPath starts watching an attempt's path.
+func (h *Handler) watchPath(x *exchange, o *openAttempt) *pathWatch {
+	p := &pathWatch{h: h, x: x, o: o, start: time.Now()}
+	if h.StallTimeout <= 0 {
+		return p
+	}
+	p.timer = time.AfterFunc(h.StallTimeout, p.inspect)
+	h.pathWatches.add(p)
+	return p
+}
+
+func (p *pathWatch) stop() {
+	if p.timer != nil {
+		p.timer.Stop()
+		p.h.pathWatches.remove(p)
+	}
+}
+
+// inspect checks the path of an attempt that got no response for long.
+func (p *pathWatch) inspect() {
+	if p.o.sentDirectly() && p.h.pathCheckLimiter.Allow() {
+		p.h.Servers.Check(p.o.ctx, p.o.choice.First.Address)
+	}
+	p.endIfPathLost()
+}
+
+// endIfPathLost ends a silent attempt whose path is lost, if it may run again. The response to
+// one that may not is waited for, since the path may work again in time.
+func (p *pathWatch) endIfPathLost() {
+	if p.x.route.Repeat != routes.Repeatable || !p.o.sentDirectly() || !p.h.Servers.SilentlyLost(p.o.choice.First.Address) {
+		return
+	}
+	if silence := time.Since(p.start); silence < lostPathSilence {
+		time.AfterFunc(lostPathSilence-silence, p.endIfPathLost)
+		return
+	}
+	p.o.cancel(errPathLost)
+}
+
+// attemptSet is a set of attempts in progress. It is safe for concurrent use.
+type attemptSet[T comparable] struct {
+	mu      sync.Mutex
+	members map[T]struct{}
+}
+
+func newAttemptSet[T comparable]() *attemptSet[T] {
+	return &attemptSet[T]{members: make(map[T]struct{})}
+}
+
+func (s *attemptSet[T]) add(member T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.members[member] = struct{}{}
+}
+
+func (s *attemptSet[T]) remove(member T) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.members, member)
+}
+
+func (s *attemptSet[T]) list() []T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]T, 0, len(s.members))
+	for member := range s.members {
+		list = append(list, member)
+	}
+	return list
+}
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -60,6 +60,7 @@
 
 // attemptPlain sends the request and reads the whole response.
 func (h *Handler) attemptPlain(x *exchange, o *openAttempt) ([]byte, outcome) {
+	defer h.watchPath(x, o).stop()
 	if result := h.send(x, o); result != responded {
 		return nil, result
 	}
@@ -67,9 +68,8 @@
 	if err != nil || len(body) > maxBufferedResponse {
 		if x.ctx.Err() == nil {
 			h.logFailedResponse(x, o, err)
-			h.recordBrokenConnection(x, o, err)
 		}
-		x.recordFailure(o.choice)
+		h.recordBroken(x, o, err)
 		return nil, uncertain
 	}
 	return body, responded
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -257,9 +256,19 @@
 	s.table.ClearSuspicionAndLosses(body)
 }
 
-// recordBrokenConnection records an attempt whose connection broke after it was sent. A
-// connection ended by the caller, the time limit or the server's planned stop is no evidence
-// against the request.
+// recordBroken records an attempt whose connection broke after it was sent. The server is to be
+// avoided unless only this VM's path to it is lost.
+func (h *Handler) recordBroken(x *exchange, o *openAttempt, err error) {
+	if h.brokenByPath(x, o, err) {
+		x.recordRan(o.choice)
+		return
+	}
+	h.recordBrokenConnection(x, o, err)
+	x.recordFailure(o.choice)
+}
+
+// recordBrokenConnection records a broken connection as evidence against the request. A
+// connection ended by the caller, the time limit or the server's planned stop is none.
 func (h *Handler) recordBrokenConnection(x *exchange, o *openAttempt, err error) {
 	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) {
 		return
@@ -271,9 +280,6 @@
 	h.suspects.recordLoss(x.poison, o.choice.First, o.sentAt, x.events)
 }
 
-// isConnectionRefused reports whether nothing listens at an address.
-func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
-
 // poisonRefusal is the refusal of a request that crashes servers. This attempt of it has not
 // run and won't.
 func poisonRefusal() *refusal {
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -33,7 +33,7 @@
 		return false
 	}
 	if result == notExecuted {
-		return x.refusals < maxRefusals && !h.pausedBeyondWait(x) && h.awaitRetry(x)
+		return x.refusals < maxRefusals && !h.isolated(x) && !h.pausedBeyondWait(x) && h.awaitRetry(x)
 	}
 	reserved := x.retryReserved
 	x.retryReserved = false
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -77,6 +77,9 @@
 func (h *Handler) attemptStream(x *exchange, o *openAttempt, started *bool) (end outcome, done bool) {
 	h.startWatchdog(x, o)
 	defer o.stopWatchdog()
+	if o.watchdog == nil {
+		defer h.watchPath(x, o).stop()
+	}
 	if result := h.send(x, o); result != responded {
 		return result, false
 	}
@@ -98,10 +101,11 @@
 		return uncertain, true
 	}
 	h.logFailedResponse(x, o, err)
-	if !errors.Is(err, errTruncatedEvent) && !errors.Is(err, errBadEvents) {
-		h.recordBrokenConnection(x, o, err)
+	if errors.Is(err, errTruncatedEvent) || errors.Is(err, errBadEvents) {
+		x.recordFailure(o.choice)
+	} else {
+		h.recordBroken(x, o, err)
 	}
-	x.recordFailure(o.choice)
 	return uncertain, false
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -27,8 +27,10 @@
 	ended bool
 	// moving says that a move is in progress.
 	moving bool
-	// lastActivity is when the attempt began, moved or delivered its last event.
+	// lastActivity is when the attempt began, moved or delivered its last event, and begun is set
+	// once the request has delivered one.
 	lastActivity time.Time
+	begun        bool
 	// request describes the path that is needed, without the servers that failed the request
 	// before; ranOn lists the servers that ran it, and sends counts the attempts including this
 	// one. They are copies from the beginning of the attempt, as the exchange belongs to the
@@ -43,34 +45,6 @@
 	retryReserved, waitLogged bool
 }
 
-// watchdogSet is the set of active watchdogs.
-type watchdogSet struct {
-	mu      sync.Mutex
-	members map[*watchdog]struct{}
-}
-
-func (w *watchdogSet) add(d *watchdog) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.members[d] = struct{}{}
-}
-
-func (w *watchdogSet) remove(d *watchdog) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	delete(w.members, d)
-}
-
-func (w *watchdogSet) list() []*watchdog {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	list := make([]*watchdog, 0, len(w.members))
-	for d := range w.members {
-		list = append(list, d)
-	}
-	return list
-}
-
 // startWatchdog starts monitoring an attempt. Requests that may not run twice and services
 // whose servers make no reports rely on the time limits of their servers and callers.
 //
@@ -81,7 +55,7 @@
 	if x.route.Repeat != routes.Resumable || x.service.Engine == nil || h.StallTimeout <= 0 {
 		return
 	}
-	w := &watchdog{h: h, x: x, o: o, lastActivity: time.Now(), request: h.choiceRequest(x), ranOn: slices.Clone(x.ranOn), sends: x.sends + 1}
+	w := &watchdog{h: h, x: x, o: o, lastActivity: time.Now(), begun: x.events > 0, request: h.choiceRequest(x), ranOn: slices.Clone(x.ranOn), sends: x.sends + 1}
 	w.request.Avoid, w.request.Allowed = slices.Clone(x.avoid), nil
 	o.watchdog = w
 	w.mu.Lock()
@@ -95,6 +69,11 @@
 // them. confirmed says that another server found it unresponsive, not only this VM.
 func (h *Handler) MarkUnresponsive(id string, confirmed bool) {
 	h.Dispatcher.markUnresponsive(id, confirmed)
+	h.moveStreams(id)
+}
+
+// moveStreams moves all streams off a server.
+func (h *Handler) moveStreams(id string) {
 	for _, w := range h.watchdogs.list() {
 		if w.uses(id) {
 			go w.move(id)
@@ -124,7 +103,7 @@
 func (w *watchdog) recordProgress() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastActivity = time.Now()
+	w.lastActivity, w.begun = time.Now(), true
 	w.resetTimerLocked(w.h.StallTimeout)
 }
 
@@ -161,15 +140,19 @@
 	w.mu.Lock()
 	first, path := w.o.choice.First, w.o.choice.Path
 	w.mu.Unlock()
+	if w.endIfPathLost() {
+		return
+	}
 	report, err := w.h.reports.get(w.o.ctx, first.Address, maxStallReportAge)
 	w.h.signals.Apply(ServerSignals{Server: first.ID, Request: w.x.call.ID, Signals: report.Signals})
 	if w.o.ctx.Err() != nil {
 		return
 	}
-	faulty, ok := first.ID, true
-	if err == nil {
-		faulty, ok = w.stalledServer(report)
+	if err != nil {
+		w.handleNoReport(first, err)
+		return
 	}
+	faulty, ok := w.stalledServer(report)
 	if !ok && w.responseLost(report) {
 		w.endLostResponse(first.ID)
 		return
@@ -179,13 +162,13 @@
 		w.resetTimer(w.h.StallTimeout / 2)
 		return
 	}
-	telemetry.RelayStalled.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID, "blamed", faulty, "cause", telemetry.Cause(err))
-	if err == nil && w.h.OnUnresponsive != nil {
+	telemetry.RelayStalled.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
+	if w.h.OnUnresponsive != nil {
 		// Only what a server reports is shared with other VMs: a failed connection of this VM
 		// may be caused by its own network.
 		w.h.OnUnresponsive(faulty)
 	}
-	w.h.MarkUnresponsive(faulty, err == nil)
+	w.h.MarkUnresponsive(faulty, true)
 }
 
 // responseLostTimeout is the silence after which a response counts as lost if its request waits
@@ -210,6 +193,12 @@
 
 // endLostResponse ends the attempt so that it is resumed elsewhere.
 func (w *watchdog) endLostResponse(first string) {
+	if conn := w.o.tunnel(); conn != nil {
+		// The server works on the request, so the VM in between has fallen silent.
+		w.h.Servers.SetAside(conn.VM)
+		w.endForPathLoss()
+		return
+	}
 	w.h.Dispatcher.suspect(first, suspectAfterLostResponse)
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- /dev/null
+++ b/internal/serverconn/check.go
@@ -0,0 +1,155 @@
+package serverconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/reach"
+	"oleandershunt.example/oleandershunt/internal/tunnel"
+)
+
+// Verdict is what a check finds about a server that broke a connection or doesn't respond.
+type Verdict int
+
+const (
+	// Unknown: neither this VM nor another one connects to the server.
+	Unknown Verdict = iota
+	// Reached: this VM connects to the server.
+	Reached
+	// PathLost: another VM connects to the server, this one doesn't.
+	PathLost
+	// Ended: nothing listens at the address.
+	Ended
+)
+
+// checkReuse is how long a check's verdict is used again: many streams break together.
+const checkReuse = 200 * time.Millisecond
+
+// check is a check of one server; done is closed when it has a verdict.
+type check struct {
+	startedAt time.Duration
+	done      chan struct{}
+	verdict   Verdict
+}
+
+// checkGroup shares checks of one server.
+type checkGroup struct {
+	mu     sync.Mutex
+	latest map[string]*check
+}
+
+func newCheckGroup() checkGroup { return checkGroup{latest: make(map[string]*check)} }
+
+// Check finds out whether a server is reached, its path is lost, or it has ended.
+func (c *Connector) Check(ctx context.Context, address string) Verdict {
+	current := c.startCheck(address)
+	select {
+	case <-current.done:
+		return current.verdict
+	case <-ctx.Done():
+		return Unknown
+	}
+}
+
+func (c *Connector) startCheck(address string) *check {
+	c.checks.mu.Lock()
+	defer c.checks.mu.Unlock()
+	now := c.options.Now()
+	if current, ok := c.checks.latest[address]; ok && now-current.startedAt < checkReuse {
+		return current
+	}
+	for other, old := range c.checks.latest {
+		if now-old.startedAt >= checkReuse {
+			delete(c.checks.latest, other)
+		}
+	}
+	fresh := &check{startedAt: now, done: make(chan struct{})}
+	c.checks.latest[address] = fresh
+	go func() {
+		fresh.verdict = c.examine(address)
+		close(fresh.done)
+	}()
+	return fresh
+}
+
+// examine connects to a server directly and through another VM.
+func (c *Connector) examine(address string) Verdict {
+	ctx := context.Background()
+	conn, err := c.DialDirect(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+		return Reached
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	if refused && c.reachesOther(ctx, address) {
+		return Ended
+	}
+	switch conn, err := c.DialThrough(ctx, "tcp", address); {
+	case err == nil:
+		_ = conn.Close()
+		return PathLost
+	case errors.Is(err, tunnel.ErrServerRefused):
+		return Ended
+	default:
+		return Unknown
+	}
+}
+
+// reachesOther reports whether this VM connects to another server than that at an address, which
+// shows that its own paths are not lost. It is true if no other server is known.
+func (c *Connector) reachesOther(ctx context.Context, address string) bool {
+	c.mu.Lock()
+	other, known := c.table.Control(address)
+	c.mu.Unlock()
+	if !known {
+		return c.otherVMs() == nil
+	}
+	conn, err := c.connect(ctx, "tcp", other, firstWayTimeout)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// HasEnded reports whether a failed connect proves that nothing listens at a server's address any
+// more. A VM that has lost its own paths is refused by every server.
+func (c *Connector) HasEnded(ctx context.Context, address string, err error) bool {
+	switch {
+	case errors.Is(err, tunnel.ErrServerRefused):
+		return true
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return c.Check(ctx, address) == Ended
+	default:
+		return false
+	}
+}
+
+// ConnectForPeer connects to a server for another VM, directly only. It returns the errors of
+// package tunnel.
+func (c *Connector) ConnectForPeer(ctx context.Context, address string) (net.Conn, error) {
+	c.mu.Lock()
+	direct, failed, state := c.table.Direct(address), c.table.FailedRecently(c.options.Now(), address), c.table.State()
+	c.mu.Unlock()
+	switch {
+	case state == reach.Lost || state == reach.Isolated || !direct:
+		return nil, tunnel.ErrUnavailable
+	case failed:
+		return nil, tunnel.ErrServerSilent
+	}
+	conn, err := c.connect(ctx, "tcp", address, tunnel.ConnectTimeout)
+	switch {
+	case err == nil:
+		return conn, nil
+	case errors.Is(err, syscall.ECONNREFUSED) && c.reachesOther(ctx, address):
+		return nil, tunnel.ErrServerRefused
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return nil, tunnel.ErrUnavailable
+	default:
+		return nil, tunnel.ErrServerSilent
+	}
+}
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -13,6 +13,7 @@
 	RelayNotMoved       = Event{4209, "request not moved; its attempt ends"}
 	RelayAnswerLost     = Event{4211, "answer is lost; the request is resumed elsewhere"}
 	RelayWaits          = Event{4212, "path is silent; the request waits, since it can't be resumed now"}
+	RelayPathLost       = Event{4221, "path to the backend server is lost; the request is resumed"}
 	RelayLate           = Event{4213, "answer was late"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
@@ -34,6 +35,8 @@
 	PeerUnread         = Event{6102, "word of another VM can't be read"}
 	DataCentreLost     = Event{6103, "data centre is out of reach"}
 	DataCentreBack     = Event{6104, "data centre is reached again"}
+	ServersLost        = Event{6105, "paths to backend servers are lost"}
+	ServersRegained    = Event{6106, "paths to backend servers work again"}
 	RelayProofLost     = Event{2103, "configuration is not proven to be the newest"}
 	RelayProofBack     = Event{2104, "configuration is proven to be the newest again"}
 	RelayConfigUnread  = Event{2105, "configuration can't be read from the platform"}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -164,6 +164,18 @@
 	s.conn.Store(conn)
 }
 
+// Connected tells whether there was a connection for the request. Without one, the connect failed.
+func (s *Sent) Connected() bool { return s.conn.Load() != nil }
+
+// Conn is the connection for the request, as it was dialled, or nil without one.
+func (s *Sent) Conn() net.Conn {
+	conn := s.conn.Load()
+	if conn == nil {
+		return nil
+	}
+	return conn.Conn
+}
+
 // Any is false only when no byte of the request has left: the peer can't have
 // started work. Bytes that the kernel took may have arrived.
 func (s *Sent) Any() bool {
