Don't count connections lost with this VM's links as crashes of servers

A VM that loses its links has connections to several servers reset and is refused by each, which is what crashes look like. The losses counted against the bodies in progress: after three a body got no further attempt (502), and with refusals as proof all VMs refused it. A broken connection is counted only if this VM or another one does not find the path lost, and a refused connect proves that a server has ended only if the VM that was refused connects to another server.

--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -323,13 +323,16 @@
 	}
 	r.Expect(r.vms[0].callUntilOK("/plain/a", "warm-1").Body.Close()).To(Succeed())
 	r.Expect(r.vms[1].callUntilOK("/plain/a", "warm-2").Body.Close()).To(Succeed())
+	statuses := make(chan int, servers)
 	for i := range servers {
-		go r.vms[0].status("/plain/held", fmt.Sprint("held-", i))
+		go func() { statuses <- r.vms[0].status("/plain/held", fmt.Sprint("held-", i)) }()
 	}
 	r.Eventually(r.held.Load, "2s").Should(BeEquivalentTo(servers))
 	r.links[0].set(linkReset)
 	close(r.release)
-	r.trafficFor(500*time.Millisecond, r.vms[0])
+	for range servers {
+		r.Expect(<-statuses).To(Equal(http.StatusOK), "it is sent again through the other VM")
+	}
 	const evaluated = 3 * time.Second
 	time.Sleep(evaluated)
 	for i, vm := range []*rig{r.vms[1], r.vms[0]} {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -3,13 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -173,7 +171,7 @@
 	telemetry.RelayAttemptFailed.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "sent", sent, "cause", err.Error())...)
 	if !sent {
 		h.Dispatcher.suspect(o.choice.First.ID, suspectUnreachable)
-		if errors.Is(err, syscall.ECONNREFUSED) {
+		if h.Servers.HasEnded(x.ctx, o.choice.First.Address, err) {
 			h.suspects.recordConnectionRefused(o.choice.First)
 		}
 		x.avoid = append(x.avoid, o.choice.First.ID)
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -56,9 +56,21 @@
 // same.
 func (h *Handler) isolated(x *exchange) bool { return x.events == 0 && h.Servers.Isolated() }
 
-// brokenByPath reports whether an attempt was ended because this VM's path to the server is lost.
-func (h *Handler) brokenByPath(_ *exchange, o *openAttempt, _ error) bool {
-	return errors.Is(context.Cause(o.ctx), errPathLost)
+// brokenByPath reports whether an attempt's connection broke because this VM's path to the server
+// is lost, or all its paths.
+//
+// What can go wrong: a VM that loses its links has the connections to several servers reset, and is
+// then refused by each, which looks as if they had crashed. If it counted these losses, a body that
+// was running on several servers would be refused by all VMs.
+func (h *Handler) brokenByPath(x *exchange, o *openAttempt, err error) bool {
+	if errors.Is(context.Cause(o.ctx), errPathLost) {
+		return true
+	}
+	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) {
+		return false
+	}
+	verdict := h.Servers.Check(x.ctx, o.choice.First.Address)
+	return verdict == serverconn.PathLost || verdict == serverconn.Unknown && h.Servers.Isolated()
 }
 
 // pathListener acts on what is found out about the paths to servers.
