Wait for a server that accepts connections but falls silent for a second

A first server whose report didn't come within 200 ms was left out for four seconds and lost its streams, also if it only paused for a second. A server that still accepts connections gets no new requests until its next report, and streams in progress wait for it for 1.2 s; those without an event move at once, as before. A server that accepts no connections, here or from other VMs, is left out as before.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -69,13 +69,14 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	transports  serverconn.Transports
-	bodyBytes   atomic.Int64
-	inFlight    atomic.Int64
-	watchdogs   *attemptSet[*watchdog]
-	pathWatches *attemptSet[*pathWatch]
-	reports     *reportCache
-	suspects    *poisonSuspects
+	transports    serverconn.Transports
+	bodyBytes     atomic.Int64
+	inFlight      atomic.Int64
+	watchdogs     *attemptSet[*watchdog]
+	pathWatches   *attemptSet[*pathWatch]
+	reports       *reportCache
+	suspects      *poisonSuspects
+	silentServers *silentServers
 	// pathCheckLimiter limits the checks of paths by attempts without a watchdog.
 	pathCheckLimiter *rate.Limiter
 	// lateLogLimiter limits the log lines on late responses.
@@ -95,6 +96,7 @@
 		suspects:         newPoisonSuspects(),
 		watchdogs:        newAttemptSet[*watchdog](),
 		pathWatches:      newAttemptSet[*pathWatch](),
+		silentServers:    newSilentServers(),
 		pathCheckLimiter: rate.NewLimiter(pathChecksPerSecond, 1),
 		lateLogLimiter:   rate.NewLimiter(lateLogsPerSecond, lateLogBurst),
 		signals:          NewSignals(options.Log, options.Dispatcher),
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -139,6 +139,8 @@
 	case verdict == serverconn.PathLost && w.endIfPathLost():
 	case verdict == serverconn.Unknown && w.h.Servers.Isolated():
 		w.resetTimer(w.h.StallTimeout / 2)
+	case verdict == serverconn.Reached || verdict == serverconn.PathLost:
+		w.handleSilentServer(first, err)
 	default:
 		w.logStalled(first, err)
 		w.h.MarkUnresponsive(first.ID, false)
