Tell lost paths apart by service, and ask more VMs before a server counts as ended

A VM may lose the paths to the servers of one service only, or to some of them. Then it told other VMs, which asked it for a tunnel, that the servers had ended: it reached servers of another service. And a race for a tunnel ended with the first such answer, or with two VMs that got no response, though others would have connected. States are kept by service; of up to eight VMs asked, one that connects decides, and those that said otherwise are asked again only later. VMs that connected are tried first.

TestAServerHasEndedOnlyIfNoVMConnects failed before.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -307,9 +307,14 @@
 	}
 }
 
-// HasAddress reports whether a server is registered at an address.
-func (f *Fleet) HasAddress(address string) bool {
-	return len(f.index.atAddressOrName(address, "")) > 0
+// ServiceAt returns the service of the server that is registered at an address, or false if there
+// is none. Of several, one may be leaving and its successor not yet known as such.
+func (f *Fleet) ServiceAt(address string) (string, bool) {
+	servers := f.index.atAddressOrName(address, "")
+	if len(servers) == 0 {
+		return "", false
+	}
+	return servers[len(servers)-1].Service, true
 }
 
 // A server that rejected a request for lack of capacity counts as full for minFullBackoff at first:
--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -2,8 +2,8 @@
 // its own path is lost. The package does no I/O and reads no clock.
 //
 // A server that a VM can't connect to has either ended, or only the path to it is lost. The path is
-// lost if another VM connects to the server. A VM that lost its paths to all servers keeps serving
-// its callers through other VMs, and must not report the servers as gone.
+// lost if another VM connects to the server. A VM that lost its paths to all servers of a service
+// keeps serving its callers through other VMs, and must not report the servers as gone.
 package reach
 
 import (
@@ -35,7 +35,7 @@
 	Refused
 )
 
-// State is the state of a VM's paths to all servers.
+// State is the state of a VM's paths to the servers of a service.
 type State int
 
 // The states, from the best to the worst.
@@ -72,12 +72,13 @@
 
 func (p *path) failing() bool { return p.failingSince > 0 }
 
-// Table holds the paths that the VM used. Servers are identified by address.
+// Table holds a VM's paths to the servers of one service, as far as it used them. Servers are
+// identified by address.
 type Table struct {
 	paths map[string]*path
 	// failing are the paths whose latest direct connect failed.
 	failing map[string]*path
-	// connectedAt is when the latest direct connect to any server succeeded.
+	// connectedAt is when the latest direct connect to one of the servers succeeded.
 	connectedAt time.Duration
 	// recovered is set once a failing path works again, until the others were probed.
 	recovered bool
@@ -292,6 +293,9 @@
 	}
 }
 
+// Empty reports whether no path is known.
+func (t *Table) Empty() bool { return len(t.paths) == 0 }
+
 // Forget removes the paths that expired and those to servers that are no longer registered.
 func (t *Table) Forget(now time.Duration, registered func(address string) bool) {
 	for address, p := range t.paths {
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -147,3 +147,19 @@
 	g.Expect(vms.Choose(time.Second, []string{"l1"}, []string{"r1"}, 2, zero)).To(Equal([]string{"l1", "r1"}))
 	g.Expect(vms.Choose(0, nil, nil, 2, zero)).To(BeEmpty())
 }
+
+// Guards against searching again, at each connect, among VMs that have lost their paths, and against
+// leaving it to one VM to carry all.
+func TestVMsThatConnectedAreTriedFirst(t *testing.T) {
+	g := NewWithT(t)
+	vms := reach.NewIntermediaries()
+	local := []string{"l1", "l2", "l3", "l4"}
+	vms.Proven(0, "l3")
+	first := make(map[string]int)
+	for i := range 40 {
+		first[vms.Choose(0, local, nil, 4, func(n int) int { return i % n })[0]]++
+	}
+	g.Expect(first["l3"]).To(Equal(30), "one in four tries another one")
+	vms.SetAside(0, "l3", time.Second)
+	g.Expect(vms.Choose(0, local, nil, 4, func(int) int { return 0 })).To(Equal([]string{"l1", "l2", "l4"}))
+}
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -380,7 +380,9 @@
 			r.links[0].set(linkUp)
 			passesOther := func() bool {
 				before := r.links[1].opened()
-				r.Expect(r.vms[0].status("/once/a", "again")).To(Equal(http.StatusOK))
+				for range 4 { // each server gets some
+					r.Expect(r.vms[0].status("/once/a", "again")).To(Equal(http.StatusOK))
+				}
 				return r.links[1].opened() > before
 			}
 			r.Eventually(passesOther, "1s", "20ms").Should(BeFalse())
--- a/internal/edge/tunnels.go
+++ b/internal/edge/tunnels.go
@@ -1,8 +1,6 @@
 package edge
 
 import (
-	"net/http"
-
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
@@ -14,9 +12,16 @@
 	servers.SetTunnels(tunnel.NewDialer(tunnel.DialerOptions{
 		VMs:    func() (local, remote []string) { return t.members.current().otherNames(t.self, t.dataCentre) },
 		DialVM: t.dialer.DialVM,
-		Header: func(vm string) http.Header { return t.identity.Header(vm) },
-		Now:    bootclock.Now,
+		Header: t.identity.Header,
+		Service: func(address string) string {
+			service, _ := dispatcher.ServiceAt(address)
+			return service
+		},
+		Now: bootclock.Now,
 	}))
-	t.tunnels = tunnel.NewServer(tunnel.ServerOptions{Connect: servers.ConnectForPeer, Registered: dispatcher.Registered})
+	t.tunnels = tunnel.NewServer(tunnel.ServerOptions{Connect: servers.ConnectForPeer, Registered: func(address string) bool {
+		_, registered := dispatcher.ServiceAt(address)
+		return registered
+	}})
 	return t.tunnels
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -269,11 +269,12 @@
 	}
 }
 
-// Registered reports whether a backend server is registered at an address.
-func (d *Dispatcher) Registered(address string) bool {
+// ServiceAt returns the service of the backend server that is registered at an address, or false
+// if there is none.
+func (d *Dispatcher) ServiceAt(address string) (string, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.fleet.HasAddress(address)
+	return d.fleet.ServiceAt(address)
 }
 
 // markUnresponsive keeps new requests off a server that doesn't respond. confirmed says that
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -54,7 +54,9 @@
 
 // isolated reports whether no VM reaches a server. A request whose response has begun waits all the
 // same.
-func (h *Handler) isolated(x *exchange) bool { return x.events == 0 && h.Servers.Isolated() }
+func (h *Handler) isolated(x *exchange) bool {
+	return x.events == 0 && h.Servers.Isolated(x.service.Name)
+}
 
 // brokenByPath reports whether an attempt's connection broke because this VM's path to the server
 // is lost, or all its paths.
@@ -70,7 +72,7 @@
 		return false
 	}
 	verdict := h.Servers.Check(x.ctx, o.choice.First.Address)
-	return verdict == serverconn.PathLost || verdict == serverconn.Unknown && h.Servers.Isolated()
+	return verdict == serverconn.PathLost || verdict == serverconn.Unknown && h.Servers.Isolated(x.service.Name)
 }
 
 // pathListener acts on what is found out about the paths to servers.
@@ -137,7 +139,7 @@
 	switch {
 	case w.o.ctx.Err() != nil:
 	case verdict == serverconn.PathLost && w.endIfPathLost():
-	case verdict == serverconn.Unknown && w.h.Servers.Isolated():
+	case verdict == serverconn.Unknown && w.h.Servers.Isolated(w.x.service.Name):
 		w.resetTimer(w.h.StallTimeout / 2)
 	case verdict == serverconn.Reached || verdict == serverconn.PathLost:
 		w.handleSilentServer(first, err)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -154,7 +154,7 @@
 	}
 	faulty, ok := w.stalledServer(report)
 	if !ok && w.responseLost(report) {
-		w.endLostResponse(first.ID)
+		w.endLostResponse(first)
 		return
 	}
 	if !ok {
@@ -192,19 +192,19 @@
 }
 
 // endLostResponse ends the attempt so that it is resumed elsewhere.
-func (w *watchdog) endLostResponse(first string) {
+func (w *watchdog) endLostResponse(first backends.Server) {
 	if conn := w.o.tunnel(); conn != nil {
 		// The server works on the request, so the VM in between has fallen silent.
-		w.h.Servers.SetAside(conn.VM)
+		w.h.Servers.SetAside(conn.VM, first.Address)
 		w.endForPathLoss()
 		return
 	}
-	w.h.Dispatcher.suspect(first, suspectAfterLostResponse)
+	w.h.Dispatcher.suspect(first.ID, suspectAfterLostResponse)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.ended && w.endForResumeLocked() {
-		w.faulty = append(w.faulty, first)
-		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first)
+		w.faulty = append(w.faulty, first.ID)
+		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID)
 	}
 }
 
--- a/internal/serverconn/check.go
+++ b/internal/serverconn/check.go
@@ -85,26 +85,24 @@
 		return Reached
 	}
 	refused := errors.Is(err, syscall.ECONNREFUSED)
-	if refused && c.reachesOther(ctx, address) {
-		return Ended
-	}
 	switch conn, err := c.DialThrough(ctx, "tcp", address); {
 	case err == nil:
 		_ = conn.Close()
 		return PathLost
-	case errors.Is(err, tunnel.ErrServerRefused):
+	case errors.Is(err, tunnel.ErrServerRefused), refused && c.reachesOther(ctx, address):
 		return Ended
 	default:
 		return Unknown
 	}
 }
 
-// reachesOther reports whether this VM connects to another server than that at an address, which
-// shows that its own paths are not lost. It is true if no other server is known.
+// reachesOther reports whether this VM connects to another server of the service than that at an
+// address, which shows that its own paths are not lost. Without another one known, it is true if
+// there is no other VM that could tell.
 func (c *Connector) reachesOther(ctx context.Context, address string) bool {
-	c.mu.Lock()
-	other, known := c.table.Control(address)
-	c.mu.Unlock()
+	var other string
+	var known bool
+	c.view(address, func(paths *servicePaths) { other, known = paths.Control(address) })
 	if !known {
 		return c.otherVMs() == nil
 	}
@@ -132,9 +130,11 @@
 // ConnectForPeer connects to a server for another VM, directly only. It returns the errors of
 // package tunnel.
 func (c *Connector) ConnectForPeer(ctx context.Context, address string) (net.Conn, error) {
-	c.mu.Lock()
-	direct, failed, state := c.table.Direct(address), c.table.FailedRecently(c.options.Now(), address), c.table.State()
-	c.mu.Unlock()
+	var direct, failed bool
+	var state reach.State
+	c.view(address, func(paths *servicePaths) {
+		direct, failed, state = paths.Direct(address), paths.FailedRecently(c.options.Now(), address), paths.State()
+	})
 	switch {
 	case state == reach.Lost || state == reach.Isolated || !direct:
 		return nil, tunnel.ErrUnavailable
--- a/internal/serverconn/connector.go
+++ b/internal/serverconn/connector.go
@@ -42,7 +42,7 @@
 type Tunnels interface {
 	HasVMs() bool
 	Dial(ctx context.Context, address string) (*tunnel.Conn, error)
-	SetAside(vm string)
+	SetAside(vm, address string)
 }
 
 // Options are the dependencies of a Connector.
@@ -52,9 +52,9 @@
 	Dial wire.DialFunc
 	// Now is the time since the start of the VM, including time suspended.
 	Now func() time.Duration
-	// Registered reports whether a backend server is registered at an address. Nil means that
-	// every address is one.
-	Registered func(address string) bool
+	// Service returns the service of the server that is registered at an address, or false if there
+	// is none. Nil means that all servers are of one service.
+	Service func(address string) (string, bool)
 }
 
 // Listener is told what a Connector finds out.
@@ -88,16 +88,23 @@
 	tunnels  Tunnels
 	listener Listener
 	// pooled are the transports that keep unused connections.
-	pooled      []*http.Transport
-	table       *reach.Table
-	state       reach.State
+	pooled []*http.Transport
+	// services are the paths to the servers of each service that were used.
+	services    map[string]*servicePaths
 	forgottenAt time.Duration
 }
 
+// servicePaths are the paths to the servers of one service. logged is their state in the last log
+// line.
+type servicePaths struct {
+	*reach.Table
+	logged reach.State
+}
+
 // New returns a connector without other VMs.
 func New(options Options) *Connector {
 	return &Connector{
-		options: options, table: reach.New(), listener: noListener{}, wake: make(chan struct{}, 1), checks: newCheckGroup(),
+		options: options, services: make(map[string]*servicePaths), listener: noListener{}, wake: make(chan struct{}, 1), checks: newCheckGroup(),
 		logLimiter: rate.NewLimiter(stateLogsPerSecond, stateLogBurst),
 	}
 }
@@ -127,12 +134,38 @@
 	return tunnels
 }
 
+// serviceOf returns the service of the server at an address; empty if none is registered there.
+func (c *Connector) serviceOf(address string) string {
+	if c.options.Service == nil {
+		return ""
+	}
+	service, _ := c.options.Service(address)
+	return service
+}
+
+// paths returns the paths to the servers of a service. c.mu must be held.
+func (c *Connector) paths(service string) *servicePaths {
+	paths, ok := c.services[service]
+	if !ok {
+		paths = &servicePaths{Table: reach.New()}
+		c.services[service] = paths
+	}
+	return paths
+}
+
+// view calls use with the paths to the servers of the service of which one is at an address.
+func (c *Connector) view(address string, use func(paths *servicePaths)) {
+	service := c.serviceOf(address)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	use(c.paths(service))
+}
+
 // DialDirect connects to a server directly. It returns ErrPathLost at once while the path is lost.
 // It implements wire.DialFunc.
 func (c *Connector) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
-	c.mu.Lock()
-	direct := c.table.Direct(address)
-	c.mu.Unlock()
+	var direct bool
+	c.view(address, func(paths *servicePaths) { direct = paths.Direct(address) })
 	if !direct {
 		return nil, ErrPathLost
 	}
@@ -153,11 +186,11 @@
 	if err != nil && ctx.Err() != nil {
 		return nil, err // the request has ended
 	}
-	c.update(func(table *reach.Table) {
+	c.update(address, func(paths *servicePaths) {
 		if err == nil {
-			table.Relayed(address)
+			paths.Relayed(address)
 		} else {
-			table.NotRelayed(address)
+			paths.NotRelayed(address)
 		}
 	})
 	if err != nil {
@@ -174,9 +207,9 @@
 	failure, isPath := classify(err)
 	switch {
 	case err == nil:
-		c.update(func(table *reach.Table) { table.Connected(c.options.Now(), address) })
+		c.update(address, func(paths *servicePaths) { paths.Connected(c.options.Now(), address) })
 	case isPath && ctx.Err() == nil:
-		c.update(func(table *reach.Table) { table.Failed(c.options.Now(), address, failure) })
+		c.update(address, func(paths *servicePaths) { paths.Failed(c.options.Now(), address, failure) })
 	}
 	return conn, err
 }
@@ -198,22 +231,23 @@
 	}
 }
 
-// update changes the table, and logs and reports what follows from that.
-func (c *Connector) update(change func(*reach.Table)) {
+// update changes the paths to the servers of a service, and logs and reports what follows from that.
+func (c *Connector) update(address string, change func(paths *servicePaths)) {
+	service := c.serviceOf(address)
 	c.mu.Lock()
-	now, lost := c.options.Now(), c.table.LostCount()
-	change(c.table)
+	now, paths := c.options.Now(), c.paths(service)
+	lost, before := paths.LostCount(), paths.State()
+	change(paths)
 	if now-c.forgottenAt >= forgetInterval {
 		c.forgottenAt = now
-		c.table.Forget(now, c.registered)
+		c.forget(now)
 	}
-	state, before := c.table.State(), c.state
-	c.state = state
-	if state != before {
-		c.logState(state, c.table.Failing())
+	state := paths.State()
+	if state == reach.Direct {
+		c.logState(service, paths)
 	}
-	moreLost := c.table.LostCount() > lost || state == reach.Lost && before != reach.Lost
-	_, probing := c.table.NextProbe(now)
+	moreLost := paths.LostCount() > lost || state == reach.Lost && before != reach.Lost
+	_, probing := paths.NextProbe(now)
 	listener := c.listener
 	c.mu.Unlock()
 	if probing {
@@ -228,11 +262,30 @@
 	}
 }
 
+// forget removes the paths that expired and those to servers that are gone. c.mu must be held.
+func (c *Connector) forget(now time.Duration) {
+	for service, paths := range c.services {
+		paths.Forget(now, func(address string) bool {
+			if c.options.Service == nil {
+				return true
+			}
+			current, registered := c.options.Service(address)
+			return registered && current == service
+		})
+		if paths.Empty() && paths.logged == reach.Direct {
+			delete(c.services, service)
+		}
+	}
+}
+
 // closeSilent closes the unused connections if those over lost paths get no response: a request
 // sent over one would be lost. Where only new connections are rejected, open ones still work.
 func (c *Connector) closeSilent() {
 	c.mu.Lock()
-	silent, pooled := c.table.AnySilentlyLost(), c.pooled
+	silent, pooled := false, c.pooled
+	for _, paths := range c.services {
+		silent = silent || paths.AnySilentlyLost()
+	}
 	c.mu.Unlock()
 	if !silent {
 		return
@@ -242,46 +295,44 @@
 	}
 }
 
-func (c *Connector) registered(address string) bool {
-	return c.options.Registered == nil || c.options.Registered(address)
-}
-
-func (c *Connector) logState(state reach.State, failing []string) {
-	if !c.logLimiter.Allow() {
+// logState logs the state of the paths to the servers of a service if it has changed. c.mu must be
+// held.
+func (c *Connector) logState(service string, paths *servicePaths) {
+	state := paths.State()
+	if state == paths.logged || !c.logLimiter.Allow() {
 		return
 	}
+	paths.logged = state
 	if state == reach.Direct {
-		telemetry.ServersRegained.Log(c.options.Log)
+		telemetry.ServersRegained.Log(c.options.Log, "service", service)
 		return
 	}
-	example := ""
-	if len(failing) > 0 {
-		example = failing[0]
-	}
-	telemetry.ServersLost.Log(c.options.Log, "state", state.String(), "failing", len(failing), "example", example)
+	failing := paths.Failing()
+	telemetry.ServersLost.Log(c.options.Log, "service", service, "state", state.String(), "failing", len(failing), "example", failing[0])
 }
 
-// State returns the state of this VM's paths.
-func (c *Connector) State() reach.State {
+// State returns the state of this VM's paths to the servers of a service.
+func (c *Connector) State(service string) reach.State {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.table.State()
+	return c.paths(service).State()
+}
+
+// SilentlyLost reports whether the path to a server is lost and open connections to it get no
+// response.
+func (c *Connector) SilentlyLost(address string) (lost bool) {
+	c.view(address, func(paths *servicePaths) { lost = paths.SilentlyLost(address) })
+	return lost
 }
 
-// SetAside keeps new connections off another VM for a time, since one through it fell silent.
-func (c *Connector) SetAside(vm string) {
+// SetAside keeps new connections to a server's service off another VM for a time, since one through
+// it fell silent.
+func (c *Connector) SetAside(vm, address string) {
 	if tunnels := c.otherVMs(); tunnels != nil {
-		tunnels.SetAside(vm)
+		tunnels.SetAside(vm, address)
 	}
 }
 
-// Isolated reports whether no server is reached, neither directly nor through another VM.
-func (c *Connector) Isolated() bool { return c.State() == reach.Isolated }
-
-// SilentlyLost reports whether the path to a server is lost and open connections to it get no
-// response.
-func (c *Connector) SilentlyLost(address string) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.table.SilentlyLost(address)
-}
+// Isolated reports whether no server of a service is reached, neither directly nor through another
+// VM.
+func (c *Connector) Isolated(service string) bool { return c.State(service) == reach.Isolated }
--- a/internal/serverconn/connector_test.go
+++ b/internal/serverconn/connector_test.go
@@ -86,7 +86,7 @@
 func (r *rig) HasVMs() bool { return true }
 
 // SetAside implements serverconn.Tunnels.
-func (r *rig) SetAside(string) {}
+func (r *rig) SetAside(string, string) {}
 
 // Dial implements serverconn.Tunnels.
 func (r *rig) Dial(ctx context.Context, address string) (*tunnel.Conn, error) {
@@ -164,12 +164,12 @@
 		r.Expect(err).NotTo(HaveOccurred())
 		r.Expect(conn.Close()).To(Succeed())
 	}
-	r.Expect(r.connector.State()).To(Equal(reach.Lost))
+	r.Expect(r.connector.State("")).To(Equal(reach.Lost))
 	_, err := r.connector.DialDirect(t.Context(), "tcp", r.servers[0])
 	r.Expect(err).To(MatchError(serverconn.ErrPathLost))
-	r.Expect(r.logs()).To(ContainSubstring(`"state"="lost"`))
+	r.Eventually(r.logs, "1s").Should(ContainSubstring(`"state"="lost"`))
 	r.fail(nil, nil)
-	r.Eventually(r.connector.State, "1s").Should(Equal(reach.Direct))
+	r.Eventually(func() reach.State { return r.connector.State("") }, "1s").Should(Equal(reach.Direct))
 	r.Expect(r.logs()).To(ContainSubstring("paths to backend servers work again"))
 }
 
@@ -191,5 +191,5 @@
 	r.fail(syscall.EMFILE, nil)
 	r.connectAll(t)
 	r.connectAll(t)
-	r.Expect(r.connector.State()).To(Equal(reach.Direct))
+	r.Expect(r.connector.State("")).To(Equal(reach.Direct))
 }
--- a/internal/serverconn/probe.go
+++ b/internal/serverconn/probe.go
@@ -26,34 +26,63 @@
 func (c *Connector) nextProbe() <-chan time.Time {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.options.Now()
-	due, pending := c.table.NextProbe(now)
+	now, earliest, pending := c.options.Now(), time.Duration(0), false
+	for _, paths := range c.services {
+		if due, ok := paths.NextProbe(now); ok && (!pending || due < earliest) {
+			earliest, pending = due, true
+		}
+	}
 	if !pending {
 		return nil
 	}
-	return time.After(due - now)
+	return time.After(earliest - now)
+}
+
+// round is a round of probes of one service.
+type round struct {
+	service      string
+	due, failing []string
+	before       reach.State
 }
 
 // probe connects to the servers that are due.
 func (c *Connector) probe(ctx context.Context) {
-	c.mu.Lock()
-	now := c.options.Now()
-	c.table.Forget(now, c.registered)
-	due, before := c.table.Probes(now), c.table.State()
-	failing, listener := c.table.Failing(), c.listener
-	c.mu.Unlock()
+	rounds, listener := c.startRounds()
 	var probes sync.WaitGroup
-	for _, address := range due {
-		probes.Go(func() { c.probeServer(ctx, address, before == reach.Isolated) })
+	for _, r := range rounds {
+		for _, address := range r.due {
+			probes.Go(func() { c.probeServer(ctx, address, r.before == reach.Isolated) })
+		}
 	}
 	probes.Wait()
-	after := c.State()
-	switch {
-	case after == reach.Isolated:
-		listener.Unreachable(failing)
-	case before == reach.Isolated:
-		listener.Reachable(failing)
+	for _, r := range rounds {
+		c.mu.Lock()
+		paths := c.paths(r.service)
+		after := paths.State()
+		c.logState(r.service, paths)
+		c.mu.Unlock()
+		switch {
+		case after == reach.Isolated:
+			listener.Unreachable(r.failing)
+		case r.before == reach.Isolated:
+			listener.Reachable(r.failing)
+		}
+	}
+}
+
+// startRounds returns the probes that are due now.
+func (c *Connector) startRounds() ([]round, Listener) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.options.Now()
+	c.forget(now)
+	var rounds []round
+	for service, paths := range c.services {
+		if due, pending := paths.NextProbe(now); pending && due <= now {
+			rounds = append(rounds, round{service: service, due: paths.Probes(now), failing: paths.Failing(), before: paths.State()})
+		}
 	}
+	return rounds, c.listener
 }
 
 // probeServer connects to a server directly and, if through is set, through another VM.
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -18,10 +17,11 @@
 )
 
 const (
-	// maxVMs is the number of VMs that are asked for one tunnel.
-	maxVMs = 4
+	// maxVMs is the number of VMs that are asked for one tunnel. Most VMs of a data centre may have
+	// lost their paths.
+	maxVMs = 8
 	// nextVMDelay is how long a VM is waited for before the next one is asked as well.
-	nextVMDelay = 60 * time.Millisecond
+	nextVMDelay = 30 * time.Millisecond
 	// openTimeout bounds the time to open a tunnel: that of a VM's connect, and of the calls.
 	openTimeout = ConnectTimeout + 150*time.Millisecond
 	// silentVerdicts is the number of VMs that must find a server silent for it to count as such:
@@ -31,9 +31,10 @@
 
 // Times for which a VM that opened no tunnel isn't asked again.
 const (
-	unavailableTime = 500 * time.Millisecond
-	unreachableTime = time.Second
-	unsupportedTime = 30 * time.Second
+	unavailableTime  = 500 * time.Millisecond
+	unreachableTime  = time.Second
+	contradictedTime = 2 * time.Second
+	unsupportedTime  = 30 * time.Second
 )
 
 // DialerOptions are the dependencies of a Dialer.
@@ -44,6 +45,9 @@
 	DialVM func(ctx context.Context, vm string) (net.Conn, error)
 	// Header holds the headers that identify this VM to another one.
 	Header func(vm string) http.Header
+	// Service returns the service of the server at an address: VMs may reach the servers of one
+	// service and not those of another.
+	Service func(address string) string
 	// Now is the time since the start of the VM.
 	Now func() time.Duration
 }
@@ -52,13 +56,14 @@
 type Dialer struct {
 	options DialerOptions
 
-	mu  sync.Mutex
-	vms *reach.Intermediaries
+	mu sync.Mutex
+	// vms are the VMs to choose from, by service.
+	vms map[string]*reach.Intermediaries
 }
 
 // NewDialer returns a dialer.
 func NewDialer(options DialerOptions) *Dialer {
-	return &Dialer{options: options, vms: reach.NewIntermediaries()}
+	return &Dialer{options: options, vms: make(map[string]*reach.Intermediaries)}
 }
 
 // HasVMs reports whether there are other VMs.
@@ -86,50 +91,60 @@
 
 // opened is the result of asking one VM.
 type opened struct {
+	vm   string
 	conn *Conn
 	err  error
 }
 
 // Dial connects to the backend server at an address through another VM. It asks several VMs, one
 // shortly after the other, and takes the first tunnel. The error is ErrServerRefused if the server
-// has ended, ErrServerSilent if two VMs get no response, and otherwise ErrNoVM.
+// rejects connects from all VMs that could tell, ErrServerSilent if two VMs get no response, and
+// otherwise ErrNoVM.
 func (d *Dialer) Dial(ctx context.Context, address string) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
-	conn, err := d.race(ctx, address, d.choose())
+	service := d.options.Service(address)
+	conn, err := d.race(ctx, service, address)
 	metrics.GetOrCreateCounter(`oleandershunt_tunnels_dialed_total{result="` + resultOf(err) + `"}`).Inc()
 	return conn, err
 }
 
-func (d *Dialer) choose() []string {
-	local, remote := d.options.VMs()
+// ofService calls use with the VMs to choose from for a service.
+func (d *Dialer) ofService(service string, use func(now time.Duration, vms *reach.Intermediaries)) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.vms.Choose(d.options.Now(), local, remote, maxVMs, rand.IntN)
+	vms, ok := d.vms[service]
+	if !ok {
+		vms = reach.NewIntermediaries()
+		d.vms[service] = vms
+	}
+	use(d.options.Now(), vms)
 }
 
-// SetAside keeps new tunnels off a VM for a time, since an open one fell silent.
-func (d *Dialer) SetAside(vm string) { d.setAside(vm, unreachableTime) }
+func (d *Dialer) choose(service string) (chosen []string) {
+	local, remote := d.options.VMs()
+	d.ofService(service, func(now time.Duration, vms *reach.Intermediaries) {
+		chosen = vms.Choose(now, local, remote, maxVMs, rand.IntN)
+	})
+	return chosen
+}
 
-func (d *Dialer) setAside(vm string, span time.Duration) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.vms.SetAside(d.options.Now(), vm, span)
+// SetAside keeps new tunnels to a server's service off a VM for a time, since an open one fell
+// silent.
+func (d *Dialer) SetAside(vm, address string) {
+	d.setAside(d.options.Service(address), vm, unreachableTime)
+}
+
+func (d *Dialer) setAside(service, vm string, span time.Duration) {
+	d.ofService(service, func(now time.Duration, vms *reach.Intermediaries) { vms.SetAside(now, vm, span) })
 }
 
-// race asks the VMs, each after the previous one failed or kept it waiting.
-func (d *Dialer) race(ctx context.Context, address string, vms []string) (*Conn, error) {
+// race asks VMs, each after the previous one failed or kept it waiting.
+func (d *Dialer) race(ctx context.Context, service, address string) (*Conn, error) {
+	vms := d.choose(service)
 	results := make(chan opened, len(vms))
-	asked, pending, silent := 0, 0, 0
-	ask := func() {
-		vm := vms[asked]
-		asked++
-		pending++
-		go func() {
-			conn, err := d.open(ctx, vm, address)
-			results <- opened{conn, err}
-		}()
-	}
+	asked, pending := 0, 0
+	var refused, silent []string
 	defer func() {
 		if pending > 0 {
 			go closeRest(results, pending)
@@ -140,26 +155,54 @@
 	for pending > 0 || asked < len(vms) {
 		select {
 		case <-next.C:
-			if asked < len(vms) {
-				ask()
-				next.Reset(nextVMDelay)
+			if asked == len(vms) {
+				continue
 			}
+			vm := vms[asked]
+			asked++
+			pending++
+			go func() { results <- d.open(ctx, service, vm, address) }()
+			next.Reset(nextVMDelay)
 		case result := <-results:
 			pending--
-			if result.err == nil || errors.Is(result.err, ErrServerRefused) {
-				return result.conn, result.err
-			}
-			if errors.Is(result.err, ErrServerSilent) {
-				if silent++; silent >= silentVerdicts {
-					return nil, result.err
-				}
+			switch {
+			case result.err == nil:
+				d.recordProven(service, result.vm, append(refused, silent...))
+				return result.conn, nil
+			case errors.Is(result.err, ErrServerRefused):
+				refused = append(refused, result.vm)
+			case errors.Is(result.err, ErrServerSilent):
+				silent = append(silent, result.vm)
 			}
 			next.Reset(0)
 		case <-ctx.Done():
-			return nil, fmt.Errorf("%w: %w", ErrNoVM, context.Cause(ctx))
+			return nil, verdict(refused, silent)
 		}
 	}
-	return nil, ErrNoVM
+	return nil, verdict(refused, silent)
+}
+
+// verdict returns the error for a server that no VM connects to.
+func verdict(refused, silent []string) error {
+	switch {
+	case len(silent) >= silentVerdicts:
+		return ErrServerSilent
+	case len(refused) > 0 && len(silent) == 0:
+		return ErrServerRefused
+	default:
+		return ErrNoVM
+	}
+}
+
+// recordProven records that a VM connected to a server, and that others didn't, which have lost
+// paths of their own.
+func (d *Dialer) recordProven(service, vm string, others []string) {
+	d.ofService(service, func(now time.Duration, vms *reach.Intermediaries) {
+		vms.Proven(now, vm)
+		for _, other := range others {
+			vms.SetAside(now, other, contradictedTime)
+		}
+	})
 }
 
 // closeRest closes the tunnels that lost the race.
@@ -172,21 +215,21 @@
 }
 
 // open asks one VM for a tunnel, and sets it aside if it is of no use.
-func (d *Dialer) open(ctx context.Context, vm, address string) (*Conn, error) {
+func (d *Dialer) open(ctx context.Context, service, vm, address string) opened {
 	start := d.options.Now()
 	conn, err := d.tryOpen(ctx, vm, address)
 	switch {
 	case err == nil, errors.Is(err, ErrServerRefused), errors.Is(err, ErrServerSilent), errors.Is(err, ErrUnregistered):
 	case errors.Is(err, ErrUnavailable):
-		d.setAside(vm, unavailableTime)
+		d.setAside(service, vm, unavailableTime)
 	case errors.Is(err, ErrUnsupported):
-		d.setAside(vm, unsupportedTime)
+		d.setAside(service, vm, unsupportedTime)
 	case errors.Is(ctx.Err(), context.Canceled) && d.options.Now()-start < nextVMDelay:
 		// It had no time to respond.
 	default:
-		d.setAside(vm, unreachableTime)
+		d.setAside(service, vm, unreachableTime)
 	}
-	return conn, err
+	return opened{vm: vm, conn: conn, err: err}
 }
 
 func (d *Dialer) tryOpen(ctx context.Context, vm, address string) (*Conn, error) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -48,6 +48,7 @@
 	r.dialer = tunnel.NewDialer(tunnel.DialerOptions{
 		VMs:    func() (local, remote []string) { return r.names, nil },
 		DialVM: peers.DialVM, Header: self.Header, Now: bootclock.Now,
+		Service: func(string) string { return "llm" },
 	})
 	return r
 }
@@ -173,19 +174,36 @@
 	r.Expect(r.dial().VM).To(Equal("vm-1"))
 }
 
-// Guards against taking a server for ended that only one VM can't connect to.
-func TestOnlyAVMThatReachesServersSaysThatOneHasEnded(t *testing.T) {
+// refuse returns a connect that fails.
+func refuse(err error) func(context.Context, string) (net.Conn, error) {
+	return func(context.Context, string) (net.Conn, error) { return nil, err }
+}
+
+// Guards against taking a server for lost that only one VM can't connect to.
+func TestOneVMDoesNotTellThatAServerIsSilent(t *testing.T) {
+	r := newRig(t)
+	dial := func() error { _, err := r.dialer.Dial(t.Context(), r.address()); return err }
+	r.addVM("cut off", refuse(tunnel.ErrUnavailable))
+	r.Expect(dial()).To(MatchError(tunnel.ErrNoVM))
+	r.addVM("silent from here", refuse(tunnel.ErrServerSilent))
+	r.Expect(dial()).To(MatchError(tunnel.ErrNoVM))
+	r.addVM("silent from there", refuse(tunnel.ErrServerSilent))
+	r.Expect(dial()).To(MatchError(tunnel.ErrServerSilent))
+}
+
+// Guards against taking a server for ended that some VM connects to, while the paths of others to
+// its service are lost.
+func TestAServerHasEndedOnlyIfNoVMConnects(t *testing.T) {
 	r := newRig(t)
-	r.addVM("cut off", func(context.Context, string) (net.Conn, error) { return nil, tunnel.ErrUnavailable })
+	for _, name := range []string{"vm-1", "vm-2", "vm-3", "vm-4"} {
+		r.addVM(name, refuse(tunnel.ErrServerRefused))
+	}
 	_, err := r.dialer.Dial(t.Context(), r.address())
-	r.Expect(err).To(MatchError(tunnel.ErrNoVM))
-	r.addVM("silent from here", func(context.Context, string) (net.Conn, error) { return nil, tunnel.ErrServerSilent })
-	_, err = r.dialer.Dial(t.Context(), r.address())
-	r.Expect(err).To(MatchError(tunnel.ErrNoVM), "one VM may have lost its own path")
-	r.addVM("silent from there", func(context.Context, string) (net.Conn, error) { return nil, tunnel.ErrServerSilent })
-	r.Eventually(func() error { _, err := r.dialer.Dial(t.Context(), r.address()); return err }, "2s").Should(MatchError(tunnel.ErrServerSilent))
-	r.addVM("vm-1", func(context.Context, string) (net.Conn, error) { return nil, tunnel.ErrServerRefused })
-	r.Eventually(func() error { _, err := r.dialer.Dial(t.Context(), r.address()); return err }, "2s").Should(MatchError(tunnel.ErrServerRefused))
+	r.Expect(err).To(MatchError(tunnel.ErrServerRefused))
+	r.addVM("vm-5", connectDirectly)
+	for range 4 {
+		r.Expect(r.dial().VM).To(Equal("vm-5"))
+	}
 }
 
 // Guards against a response that looks complete although its connection broke: one without a length
