Cut VMs off from all servers in the soak, in series and beside restarts

Nobody had cut all servers from some VMs: the soak cut VMs from the store, and servers from all. The VMs' program is built with an overlay that reads the state of its links from a file; three kinds of faults cut one VM, a data centre's VMs, or one VM three times in a row, in silence, by resets or for new connections only, by a plan of their own. A check compares what such VMs serve with the others.

--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -19,6 +19,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/edge"
+	"oleandershunt.example/oleandershunt/internal/testutil/cutlink"
 )
 
 const (
@@ -35,7 +36,7 @@
 	t     *testing.T
 	store *memoryStore
 	vms   []*rig
-	links []*serverLink
+	links []*cutlink.Link
 	// held are the requests that servers leave without a response until release is closed.
 	held    atomic.Int32
 	release chan struct{}
@@ -74,7 +75,7 @@
 	})
 	seed := ""
 	for i, dataCentre := range dataCentres {
-		link := newServerLink()
+		link := cutlink.New()
 		vm := newLinkedVM(t, fmt.Sprint("vm-", i+1), r.store, seed, link, func(s *edge.Settings) { s.DataCentre, s.FirstStart = dataCentre, true })
 		if seed == "" {
 			seed = vm.settings.PeerAddress
@@ -89,8 +90,8 @@
 }
 
 // newLinkedVM starts a VM that reaches servers over a link.
-func newLinkedVM(t *testing.T, name string, store *memoryStore, seed string, link *serverLink, changes ...func(*edge.Settings)) *rig {
-	r := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: &storeConn{memoryStore: store}, changes: changes, engines: newHTTPEngines, dial: link.dial}
+func newLinkedVM(t *testing.T, name string, store *memoryStore, seed string, link *cutlink.Link, changes ...func(*edge.Settings)) *rig {
+	r := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: &storeConn{memoryStore: store}, changes: changes, engines: newHTTPEngines, dial: link.Dial}
 	r.startOnFreePorts(name, seed)
 	return r
 }
@@ -197,11 +198,11 @@
 // Guards against refusing callers at a VM that has lost all its paths to servers while other VMs
 // reach them.
 func TestVMCutOffFromServersServesFirstAttempts(t *testing.T) {
-	for name, state := range cutStates {
-		t.Run(name, func(t *testing.T) {
+	for _, state := range cutlink.Cuts {
+		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "a", "a")
-			r.links[0].set(state)
+			r.links[0].Set(state)
 			r.trafficFor(contactTime, r.vms[0])
 			r.Expect(r.firstAttempts(r.vms[0], "first-", attemptsPerKind)).To(Equal(map[int]int{http.StatusOK: attemptsPerKind * len(kindsOfRequests)}))
 		})
@@ -211,12 +212,12 @@
 // Guards against refusing callers of a data centre all of whose VMs have lost their servers, while
 // VMs of another data centre reach them.
 func TestDataCentreCutOffFromServersServesFirstAttempts(t *testing.T) {
-	for name, state := range cutStates {
-		t.Run(name, func(t *testing.T) {
+	for _, state := range cutlink.Cuts {
+		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "a", "b")
-			r.links[0].set(state)
-			r.links[1].set(state)
+			r.links[0].Set(state)
+			r.links[1].Set(state)
 			r.trafficFor(contactTime, r.vms[0], r.vms[1])
 			for _, vm := range r.vms[:2] {
 				r.Expect(r.firstAttempts(vm, "first-"+vm.settings.VM, attemptsPerKind)).To(Equal(map[int]int{http.StatusOK: attemptsPerKind * len(kindsOfRequests)}))
@@ -227,8 +228,8 @@
 
 // Guards against cutting streams in progress when their VM loses its servers.
 func TestStreamsInProgressGoOnWhenTheirVMIsCutOff(t *testing.T) {
-	for name, state := range cutStates {
-		t.Run(name, func(t *testing.T) {
+	for _, state := range cutlink.Cuts {
+		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "a")
 			var streams sync.WaitGroup
@@ -237,7 +238,7 @@
 				streams.Go(func() { bodies[i] = r.readStream(r.vms[0], fmt.Sprint("stream-", i)) })
 			}
 			time.Sleep(streamEvents / 3 * eventInterval)
-			r.links[0].set(state)
+			r.links[0].Set(state)
 			streams.Wait()
 			for _, body := range bodies {
 				r.Expect(body).To(Equal(wholeStream()))
@@ -271,15 +272,15 @@
 // Guards against holding requests that no VM can serve, since all have lost the servers.
 func TestRequestsAreRefusedAtOnceWhenAllVMsAreCutOff(t *testing.T) {
 	const atOnce, tries = 100 * time.Millisecond, 4
-	for name, state := range cutStates {
-		if state == linkRefused {
+	for _, state := range cutlink.Cuts {
+		if state == cutlink.Refused {
 			continue // open connections go on serving
 		}
-		t.Run(name, func(t *testing.T) {
+		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "b")
 			for _, link := range r.links {
-				link.set(state)
+				link.Set(state)
 			}
 			r.trafficFor(contactTime, r.vms...)
 			for i, path := range kindsOfRequests {
@@ -290,7 +291,7 @@
 				r.Expect(fastest).To(BeNumerically("<", atOnce), path)
 			}
 			for _, link := range r.links {
-				link.set(linkUp)
+				link.Set(cutlink.Up)
 			}
 			for _, vm := range r.vms {
 				r.Eventually(func() int { return vm.status("/once/a", "back") }, "1s", "20ms").Should(Equal(http.StatusOK))
@@ -328,7 +329,7 @@
 		go func() { statuses <- r.vms[0].status("/plain/held", fmt.Sprint("held-", i)) }()
 	}
 	r.Eventually(r.held.Load, "2s").Should(BeEquivalentTo(servers))
-	r.links[0].set(linkReset)
+	r.links[0].Set(cutlink.Reset)
 	close(r.release)
 	for range servers {
 		r.Expect(<-statuses).To(Equal(http.StatusOK), "it is sent again through the other VM")
@@ -359,7 +360,7 @@
 func TestAtMostOnceRequestOutlivesThePlannedStopOfTheVMInBetween(t *testing.T) {
 	t.Parallel()
 	r := newCutoffRig(t, "a", "a")
-	r.links[0].set(linkSilent)
+	r.links[0].Set(cutlink.Silent)
 	r.trafficFor(time.Second, r.vms[0])
 	status := make(chan int)
 	go func() { status <- r.vms[0].status("/once/slow", "stopped") }()
@@ -371,19 +372,19 @@
 
 // Guards against going on through other VMs once the direct paths work again.
 func TestDirectPathsAreUsedAgain(t *testing.T) {
-	for name, state := range cutStates {
-		t.Run(name, func(t *testing.T) {
+	for _, state := range cutlink.Cuts {
+		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "a")
-			r.links[0].set(state)
+			r.links[0].Set(state)
 			r.trafficFor(time.Second, r.vms[0])
-			r.links[0].set(linkUp)
+			r.links[0].Set(cutlink.Up)
 			passesOther := func() bool {
-				before := r.links[1].opened()
+				before := r.links[1].Opened()
 				for range 4 { // each server gets some
 					r.Expect(r.vms[0].status("/once/a", "again")).To(Equal(http.StatusOK))
 				}
-				return r.links[1].opened() > before
+				return r.links[1].Opened() > before
 			}
 			r.Eventually(passesOther, "1s", "20ms").Should(BeFalse())
 			r.Consistently(passesOther, "500ms", "20ms").Should(BeFalse())
@@ -396,7 +397,7 @@
 func TestTimeSpentOnALostPathIsTakenOffTheDeadline(t *testing.T) {
 	t.Parallel()
 	r := newCutoffRig(t, "a", "a")
-	r.links[0].set(linkSilent)
+	r.links[0].Set(cutlink.Silent)
 	const limit, spent = 3 * time.Second, 100 * time.Millisecond
 	request, err := http.NewRequest(http.MethodGet, "http://"+r.vms[0].settings.CallerAddress+"/once/a", nil)
 	r.Expect(err).NotTo(HaveOccurred())
@@ -425,7 +426,7 @@
 	for _, vm := range r.vms {
 		r.Expect(vm.callUntilOK("/plain/a", "r0").Body.Close()).To(Succeed())
 	}
-	r.links[0].set(linkSilent)
+	r.links[0].Set(cutlink.Silent)
 	const contact, span, every = 3 * time.Second, 4 * time.Second, 100 * time.Millisecond
 	var callers sync.WaitGroup
 	for _, vm := range r.vms {
--- /dev/null
+++ b/internal/soak/links.go
@@ -0,0 +1,142 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"oleandershunt.example/oleandershunt/internal/testutil/cutlink"
+)
+
+const (
+	// linkCuts is the number of cuts of a series, and linkPause the time between two.
+	linkCuts  = 3
+	linkPause = 500 * time.Millisecond
+	// maxCutFailures and maxCutFailureShare bound the requests that fail at VMs that are cut off from
+	// the servers, if they are served less than minCutServed times as often as the others.
+	maxCutFailures     = 10
+	maxCutFailureShare = 0.02
+	minCutServed       = 2.0 / 3
+)
+
+// setLinks sets the state of a VM's links to the servers, which its program reads from a file.
+func (v *vm) setLinks(state cutlink.State) error {
+	return os.WriteFile(v.settings+".links", []byte(state), 0o600)
+}
+
+// cutFromServers cuts the VMs of a fault off from all servers.
+func (w *world) cutFromServers(f Fault) error {
+	state := cutlink.Cuts[f.Target%len(cutlink.Cuts)]
+	target := w.vms[f.Target/len(cutlink.Cuts)%len(w.vms)]
+	switch f.Kind {
+	case DataCentreServersCut:
+		var cuts sync.WaitGroup
+		errs := make([]error, len(w.vms))
+		for i, v := range w.vms {
+			if v.DataCentre == target.DataCentre {
+				cuts.Go(func() { errs[i] = w.cutLinks(v, state, bounds.Contact+f.For) })
+			}
+		}
+		cuts.Wait()
+		for _, err := range errs {
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	case VMServersSeries:
+		for i := range linkCuts {
+			if err := w.cutLinks(target, cutlink.Cuts[(f.Target+i)%len(cutlink.Cuts)], f.For); err != nil {
+				return err
+			}
+			time.Sleep(linkPause)
+		}
+		return nil
+	default:
+		return w.cutLinks(target, state, bounds.Contact+f.For)
+	}
+}
+
+// cutLinks cuts a VM's links for a time. Of two faults that overlap, the second one waits.
+func (w *world) cutLinks(v *vm, state cutlink.State, span time.Duration) error {
+	v.linksMu.Lock()
+	defer v.linksMu.Unlock()
+	end := w.beginDisturbance(disturbancesOf(v.Name, func(f *observations) map[string]*spans { return f.links }))
+	defer end()
+	if err := v.setLinks(state); err != nil {
+		return err
+	}
+	time.Sleep(span)
+	return v.setLinks(cutlink.Up)
+}
+
+// checkCutOff compares what is served by the VMs that are cut off from the servers with the others,
+// from the contact time after the cut on.
+func (f *observations) checkCutOff() []finding {
+	var cut, others served
+	for _, r := range f.requests {
+		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedBut(r) {
+			continue
+		}
+		switch {
+		case f.links[r.vm].within(r.sent, r.ended, f.bounds.Contact):
+			cut.count(r)
+		case f.links[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) && f.anyCut(r):
+			others.count(r)
+		}
+	}
+	failed := cut.all - cut.complete
+	if float64(failed) <= maxCutFailures+maxCutFailureShare*float64(cut.all+others.all) || cut.share() >= minCutServed*others.share() {
+		return nil
+	}
+	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, the others %d of %d", cut.complete, cut.all, others.complete, others.all)}}
+}
+
+// undisturbedBut reports whether nothing but links were disturbed around a request.
+func (f *observations) undisturbedBut(r request) bool {
+	if !f.vms[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) || !f.stops[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) || !f.store.undisturbed(r.sent, r.ended, f.bounds.Contact) {
+		return false
+	}
+	for _, disturbed := range f.servers {
+		if !disturbed.undisturbed(r.sent, r.ended, f.bounds.Contact) {
+			return false
+		}
+	}
+	return true
+}
+
+// anyCut reports whether some VM was cut off from the servers at a request.
+func (f *observations) anyCut(r request) bool {
+	for _, links := range f.links {
+		if links.within(r.sent, r.ended, f.bounds.Contact) {
+			return true
+		}
+	}
+	return false
+}
+
+// within reports whether a time lies in one of the spans, from some time after its start on.
+func (s *spans) within(from, to time.Time, after time.Duration) bool {
+	if s == nil {
+		return false
+	}
+	for _, d := range *s {
+		if from.After(d.from.Add(after)) && to.Before(d.to) {
+			return true
+		}
+	}
+	return false
+}
+
+// served counts requests and those with a complete answer.
+type served struct{ all, complete int }
+
+func (s *served) count(r request) {
+	s.all++
+	if r.complete {
+		s.complete++
+	}
+}
+
+func (s *served) share() float64 { return float64(s.complete) / max(float64(s.all), 1) }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -50,6 +50,11 @@
 	// that reads the configuration for its data centre is cut off from the store.
 	VMSeries  Kind = "vm_series"
 	ReaderCut Kind = "store_reader"
+	// VMServersCut: a VM, or all VMs of a data centre, is cut off from all servers: silently, with
+	// resets, or so that only new connections fail. VMServersSeries: a VM is so three times in a row.
+	VMServersCut         Kind = "vm_servers"
+	DataCentreServersCut Kind = "data_centre_servers"
+	VMServersSeries      Kind = "vm_servers_series"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -63,12 +68,13 @@
 	ServerCrash, ServerSilent, ServerResets, ServerDelay,
 }
 
-// rareKinds, signalKinds and seriesKinds have separate plans. Each of these faults lasts for seconds, and kinds that
+// rareKinds, signalKinds, seriesKinds and linkKinds have separate plans. Each of these faults lasts for seconds, and kinds that
 // are added to the main plan would change the plans of all seeds.
 var (
 	rareKinds   = []Kind{StoreCopy, ServerRate}
 	signalKinds = []Kind{ServerPause, ServerSays}
 	seriesKinds = []Kind{VMSeries, ReaderCut}
+	linkKinds   = []Kind{VMServersCut, DataCentreServersCut, VMServersSeries}
 )
 
 // Fault is one fault of a plan.
@@ -123,6 +129,7 @@
 		plan = append(plan, rarePlan(rareKinds, seed, 1, within)...)
 		plan = append(plan, rarePlan(signalKinds, seed, 2, within)...)
 		plan = append(plan, rarePlan(seriesKinds, seed, 3, within)...)
+		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,8 +23,30 @@
 	race      = flag.Bool("soak.race", false, "build the VMs' program with the race detector")
 )
 
-// build builds the program of the VMs.
-func build(t *testing.T, arguments ...string) string {
+// cuttableLinks lets a run cut a VM off from all servers: the VM reads the state of its links from a
+// file.
+var cuttableLinks = []testutil.Defect{
+	{Name: "links can be cut", File: "platform/platform.go", Old: "		HealthPath:     healthPath,\n", Bad: "		HealthPath:     healthPath,\n		DialServer:     cuttableDial(path),\n"},
+	{Name: "links can be cut", File: "platform/cuttable.go", Bad: `package platform
+
+import (
+	"oleandershunt.example/oleandershunt/internal/testutil/cutlink"
+	"oleandershunt.example/oleandershunt/internal/wire"
+)
+
+func cuttableDial(settings string) wire.DialFunc {
+	link := cutlink.New()
+	go link.Follow(settings + ".links")
+	return link.Dial
+}
+`},
+}
+
+// build builds the program of the VMs with some defects.
+func build(t *testing.T, defects ...testutil.Defect) string {
+	root, err := filepath.Abs("../..")
+	NewWithT(t).Expect(err).NotTo(HaveOccurred())
+	arguments := []string{"-overlay", testutil.Overlay(t, root, append(defects, cuttableLinks...)...)}
 	if *race {
 		arguments = append(arguments, "-race")
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -44,7 +44,7 @@
 
 func newWorld(options Options) (*world, error) {
 	w := &world{options: options, store: standin.NewStore(), log: &standin.Log{}, peers: standin.NewPeers()}
-	w.facts = observations{bounds: bounds, vms: make(map[string]*spans), servers: make(map[string]*spans), stops: make(map[string]*spans)}
+	w.facts = observations{bounds: bounds, vms: make(map[string]*spans), servers: make(map[string]*spans), stops: make(map[string]*spans), links: make(map[string]*spans)}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
--- a/internal/testutil/defect.go
+++ b/internal/testutil/defect.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -19,7 +20,37 @@
 // Overlay writes the file with the defect, and returns the overlay that `go build` takes.
 func (d Defect) Overlay(tb testing.TB, root string) string {
 	tb.Helper()
-	original := filepath.Join(root, d.File)
+	return Overlay(tb, root, d)
+}
+
+// Overlay writes the files with several changes, and returns the overlay that `go build` takes. A
+// change without Old adds a file.
+func Overlay(tb testing.TB, root string, changes ...Defect) string {
+	tb.Helper()
+	directory, replaced := tb.TempDir(), make(map[string]string)
+	for i, change := range changes {
+		original := filepath.Join(root, change.File)
+		if replaced[original] != "" {
+			tb.Fatalf("two changes of %s", change.File)
+		}
+		replaced[original] = filepath.Join(directory, fmt.Sprintf("changed%d.go", i))
+		write(tb, replaced[original], change.apply(tb, original))
+	}
+	list, err := json.Marshal(map[string]any{"Replace": replaced})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	file := filepath.Join(directory, "overlay.json")
+	write(tb, file, string(list))
+	return file
+}
+
+// apply returns the file's text after the change.
+func (d Defect) apply(tb testing.TB, original string) string {
+	tb.Helper()
+	if d.Old == "" {
+		return d.Bad
+	}
 	source, err := os.ReadFile(original)
 	if err != nil {
 		tb.Fatal(err)
@@ -27,17 +58,12 @@
 	if strings.Count(string(source), d.Old) != 1 {
 		tb.Fatalf("the line that defect %q replaces has changed: %s", d.Name, d.Old)
 	}
-	directory := tb.TempDir()
-	changed := filepath.Join(directory, "changed.go")
-	list, err := json.Marshal(map[string]any{"Replace": map[string]string{original: changed}})
-	if err != nil {
+	return strings.Replace(string(source), d.Old, d.Bad, 1)
+}
+
+func write(tb testing.TB, file, text string) {
+	tb.Helper()
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		tb.Fatal(err)
 	}
-	file := filepath.Join(directory, "overlay.json")
-	for name, text := range map[string]string{changed: strings.Replace(string(source), d.Old, d.Bad, 1), file: string(list)} {
-		if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
-			tb.Fatal(err)
-		}
-	}
-	return file
 }
