--- a/internal/relay/capacity_test.go
+++ b/internal/relay/capacity_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -15,11 +16,13 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/api"
+	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/relay"
+	"oleandershunt.example/oleandershunt/internal/serverconn"
 	"oleandershunt.example/oleandershunt/platform"
 )
 
@@ -95,8 +98,10 @@
 	}
 	d.WithFleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
 	d.SetMembers("vm-1", []lease.VM{{Name: "vm-1", DataCentre: "a"}})
+	connector := serverconn.New(serverconn.Options{Log: logr.Discard(), Dial: new(net.Dialer).DialContext, Now: bootclock.Now, Service: d.ServiceAt})
+	go func() { _ = connector.Run(t.Context()) }()
 	vm = httptest.NewServer(relay.New(relay.Options{
-		Log: logr.Discard(), Wire: wire, Engines: &engines{reportCalls: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
+		Servers: connector, Log: logr.Discard(), Wire: wire, Engines: &engines{reportCalls: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
 		Proven: func() bool { return true }, StallTimeout: time.Second,
 	}))
 	t.Cleanup(vm.Close)
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -62,7 +62,7 @@
 	OnUnresponsive func(id string)
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
-	// Servers connects to backend servers. Nil means directly only.
+	// Servers connects to backend servers. Nil means directly only, without probes of lost paths.
 	Servers *serverconn.Connector
 }
 
@@ -87,7 +87,7 @@
 // New returns a handler.
 func New(options Options) *Handler {
 	if options.Servers == nil {
-		options.Servers = serverconn.New(serverconn.Options{Log: options.Log, Dial: wire.Dial, Now: bootclock.Now})
+		options.Servers = serverconn.New(serverconn.Options{Log: options.Log, Dial: wire.Dial, Now: bootclock.Now, Service: options.Dispatcher.ServiceAt})
 	}
 	h := &Handler{
 		Options:          options,
--- a/internal/serverconn/connector.go
+++ b/internal/serverconn/connector.go
@@ -53,7 +53,7 @@
 	// Now is the time since the start of the VM, including time suspended.
 	Now func() time.Duration
 	// Service returns the service of the server that is registered at an address, or false if there
-	// is none. Nil means that all servers are of one service.
+	// is none.
 	Service func(address string) (string, bool)
 }
 
@@ -136,9 +136,6 @@
 
 // serviceOf returns the service of the server at an address; empty if none is registered there.
 func (c *Connector) serviceOf(address string) string {
-	if c.options.Service == nil {
-		return ""
-	}
 	service, _ := c.options.Service(address)
 	return service
 }
@@ -266,9 +263,6 @@
 func (c *Connector) forget(now time.Duration) {
 	for service, paths := range c.services {
 		paths.Forget(now, func(address string) bool {
-			if c.options.Service == nil {
-				return true
-			}
 			current, registered := c.options.Service(address)
 			return registered && current == service
 		})
--- a/internal/serverconn/connector_test.go
+++ b/internal/serverconn/connector_test.go
@@ -21,6 +21,8 @@
 	"oleandershunt.example/oleandershunt/internal/wire"
 )
 
+const service = "llm"
+
 // rig is a connector whose direct paths and whose tunnels fail as the test says.
 type rig struct {
 	*WithT
@@ -44,7 +46,7 @@
 		t.Cleanup(server.Close)
 		r.servers = append(r.servers, strings.TrimPrefix(server.URL, "http://"))
 	}
-	r.connector = serverconn.New(serverconn.Options{Log: funcr.New(r.observeLog, funcr.Options{}), Dial: r.dialDirect, Now: bootclock.Now})
+	r.connector = serverconn.New(serverconn.Options{Log: funcr.New(r.observeLog, funcr.Options{}), Dial: r.dialDirect, Now: bootclock.Now, Service: func(string) (string, bool) { return service, true }})
 	r.connector.SetTunnels(r)
 	go func() { _ = r.connector.Run(t.Context()) }()
 	return r
@@ -164,12 +166,12 @@
 		r.Expect(err).NotTo(HaveOccurred())
 		r.Expect(conn.Close()).To(Succeed())
 	}
-	r.Expect(r.connector.State("")).To(Equal(reach.Lost))
+	r.Expect(r.connector.State(service)).To(Equal(reach.Lost))
 	_, err := r.connector.DialDirect(t.Context(), "tcp", r.servers[0])
 	r.Expect(err).To(MatchError(serverconn.ErrPathLost))
 	r.Eventually(r.logs, "1s").Should(ContainSubstring(`"state"="lost"`))
 	r.fail(nil, nil)
-	r.Eventually(func() reach.State { return r.connector.State("") }, "1s").Should(Equal(reach.Direct))
+	r.Eventually(func() reach.State { return r.connector.State(service) }, "1s").Should(Equal(reach.Direct))
 	r.Expect(r.logs()).To(ContainSubstring("paths to backend servers work again"))
 }
 
@@ -191,5 +193,5 @@
 	r.fail(syscall.EMFILE, nil)
 	r.connectAll(t)
 	r.connectAll(t)
-	r.Expect(r.connector.State("")).To(Equal(reach.Direct))
+	r.Expect(r.connector.State(service)).To(Equal(reach.Direct))
 }
