--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -29,9 +29,9 @@
 type Failure int
 
 const (
-	// Silent: there was no response.
+	// Silent means that there was no response.
 	Silent Failure = iota
-	// Refused: the connect was rejected.
+	// Refused means that the connect was rejected.
 	Refused
 )
 
@@ -40,13 +40,13 @@
 
 // The states, from the best to the worst.
 const (
-	// Direct: no path is known to be lost.
+	// Direct means that no path is known to be lost.
 	Direct State = iota
-	// Partial: the paths to some servers are lost, and other VMs reach them.
+	// Partial means that the paths to some servers are lost, and other VMs reach them.
 	Partial
-	// Lost: all paths are lost, and other VMs reach servers.
+	// Lost means that all paths are lost, and other VMs reach servers.
 	Lost
-	// Isolated: all paths are lost, and no other VM is known to reach a server.
+	// Isolated means that all paths are lost, and no other VM is known to reach a server.
 	Isolated
 )
 
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -271,28 +271,17 @@
 
 // Guards against holding requests that no VM can serve, since all have lost the servers.
 func TestRequestsAreRefusedAtOnceWhenAllVMsAreCutOff(t *testing.T) {
-	const atOnce, tries = 100 * time.Millisecond, 4
-	for _, state := range cutlink.Cuts {
-		if state == cutlink.Refused {
-			continue // open connections go on serving
-		}
+	// Where only new connections are refused, open ones go on serving.
+	for _, state := range []cutlink.State{cutlink.Silent, cutlink.Reset} {
 		t.Run(string(state), func(t *testing.T) {
 			t.Parallel()
 			r := newCutoffRig(t, "a", "b")
-			for _, link := range r.links {
-				link.Set(state)
-			}
+			r.setLinks(state)
 			r.trafficFor(contactTime, r.vms...)
-			for i, path := range kindsOfRequests {
-				fastest := time.Hour
-				for try := range tries {
-					fastest = min(fastest, r.timeToRefusal(r.vms[try%2], path, fmt.Sprint("last-", i, try)))
-				}
-				r.Expect(fastest).To(BeNumerically("<", atOnce), path)
-			}
-			for _, link := range r.links {
-				link.Set(cutlink.Up)
+			for _, path := range kindsOfRequests {
+				r.expectRefusedAtOnce(path)
 			}
+			r.setLinks(cutlink.Up)
 			for _, vm := range r.vms {
 				r.Eventually(func() int { return vm.status("/once/a", "back") }, "1s", "20ms").Should(Equal(http.StatusOK))
 			}
@@ -300,6 +289,24 @@
 	}
 }
 
+// setLinks sets the state of all VMs' links.
+func (r *cutoffRig) setLinks(state cutlink.State) {
+	for _, link := range r.links {
+		link.Set(state)
+	}
+}
+
+// expectRefusedAtOnce expects that the fastest refusal of several takes no time. A busy machine may
+// delay single ones.
+func (r *cutoffRig) expectRefusedAtOnce(path string) {
+	const atOnce, tries = 100 * time.Millisecond, 4
+	fastest := time.Hour
+	for try := range tries {
+		fastest = min(fastest, r.timeToRefusal(r.vms[try%2], path, fmt.Sprint("last-", path, try)))
+	}
+	r.Expect(fastest).To(BeNumerically("<", atOnce), path)
+}
+
 // timeToRefusal sends a request that must be refused as not run, and returns how long that took.
 func (r *cutoffRig) timeToRefusal(vm *rig, path, id string) time.Duration {
 	start := time.Now()
--- a/internal/serverconn/check.go
+++ b/internal/serverconn/check.go
@@ -16,13 +16,13 @@
 type Verdict int
 
 const (
-	// Unknown: neither this VM nor another one connects to the server.
+	// Unknown means that neither this VM nor another one connects to the server.
 	Unknown Verdict = iota
-	// Reached: this VM connects to the server.
+	// Reached means that this VM connects to the server.
 	Reached
-	// PathLost: another VM connects to the server, this one doesn't.
+	// PathLost means that another VM connects to the server and this one doesn't.
 	PathLost
-	// Ended: nothing listens at the address.
+	// Ended means that nothing listens at the address.
 	Ended
 )
 
--- a/internal/testutil/cutlink/cutlink.go
+++ b/internal/testutil/cutlink/cutlink.go
@@ -40,6 +40,7 @@
 	dials int
 }
 
+// New returns a link that is up.
 func New() *Link {
 	return &Link{changed: make(chan struct{}), conns: make(map[*conn]struct{})}
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -85,7 +85,7 @@
 		}
 	}
 	if _, err := io.WriteString(peer, "HTTP/1.1 200 Connection established\r\n\r\n"); err != nil {
-		return nil //nolint:nilerr // the peer has disconnected
+		return nil // the peer has disconnected
 	}
 	copyBoth(peer, buffered.Reader, server)
 	return nil
