Use open connections while no VM can open new ones, and record only paths that were tried

Where all VMs are refused by all servers, a refused connect kept its server from getting requests over the open connections that still worked. A connect through other VMs that failed made a path known that this VM had never tried.

TestOpenConnectionsAreUsedWhileNewOnesAreRefusedEverywhere.

--- a/internal/core/reach/reach.go
+++ b/internal/core/reach/reach.go
@@ -99,9 +99,10 @@
 // Connected records a successful direct connect.
 func (t *Table) Connected(now time.Duration, address string) {
 	p := t.path(address)
-	t.recovered = t.recovered || p.failing()
+	wasFailing := p.failing()
 	*p = path{connectedAt: now}
 	delete(t.failing, address)
+	t.recovered = (t.recovered || wasFailing) && len(t.failing) > 0
 	t.connectedAt = now
 }
 
@@ -123,13 +124,17 @@
 
 // Relayed records that another VM connected to a server.
 func (t *Table) Relayed(address string) {
-	if p := t.path(address); p.failing() {
+	if p, failing := t.failing[address]; failing {
 		p.relayed = true
 	}
 }
 
 // NotRelayed records that no other VM connected to a server.
-func (t *Table) NotRelayed(address string) { t.path(address).relayed = false }
+func (t *Table) NotRelayed(address string) {
+	if p, failing := t.failing[address]; failing {
+		p.relayed = false
+	}
+}
 
 // Direct reports whether to connect to a server directly.
 func (t *Table) Direct(address string) bool {
@@ -214,6 +219,11 @@
 // Failing returns the addresses of the servers whose direct paths fail, sorted.
 func (t *Table) Failing() []string { return slices.Sorted(maps.Keys(t.failing)) }
 
+// FailingSilently returns the addresses of those that don't respond, in contrast to a rejection.
+func (t *Table) FailingSilently() []string {
+	return slices.DeleteFunc(t.Failing(), func(address string) bool { return t.failing[address].failure != Silent })
+}
+
 // Control returns the address of another server, the one to which a direct connect succeeded last.
 // A VM that is refused by one server and connects to another has not lost its paths. It returns
 // false if no other server is known.
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -289,6 +289,17 @@
 	}
 }
 
+// Guards against giving up open connections that work because no VM can open new ones.
+func TestOpenConnectionsAreUsedWhileNewOnesAreRefusedEverywhere(t *testing.T) {
+	t.Parallel()
+	r := newCutoffRig(t, "a", "a")
+	r.setLinks(cutlink.Refused)
+	for i := range 20 {
+		r.Expect(r.vms[0].status("/plain/a", fmt.Sprint("open-", i))).To(Equal(http.StatusOK))
+		r.Expect(r.vms[0].status("/once/a", fmt.Sprint("new-", i))).To(Equal(http.StatusServiceUnavailable))
+	}
+}
+
 // setLinks sets the state of all VMs' links.
 func (r *cutoffRig) setLinks(state cutlink.State) {
 	for _, link := range r.links {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -170,7 +170,10 @@
 	}
 	telemetry.RelayAttemptFailed.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "sent", sent, "cause", err.Error())...)
 	if !sent {
-		h.Dispatcher.suspect(o.choice.First.ID, suspectUnreachable)
+		if !h.isolated(x) {
+			// Otherwise requests over open connections may still be served.
+			h.Dispatcher.suspect(o.choice.First.ID, suspectUnreachable)
+		}
 		if h.Servers.HasEnded(x.ctx, o.choice.First.Address, err) {
 			h.suspects.recordConnectionRefused(o.choice.First)
 		}
--- a/internal/relay/capacity_test.go
+++ b/internal/relay/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -23,6 +22,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
+	netwire "oleandershunt.example/oleandershunt/internal/wire"
 	"oleandershunt.example/oleandershunt/platform"
 )
 
@@ -77,11 +77,11 @@
 // newVM starts a VM before servers of one service. It returns the VM's dispatcher and a
 // function that applies its first configuration, which has one route.
 func newVM(t *testing.T, retries budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (vm *httptest.Server, d *relay.Dispatcher, configure func()) {
-	return newVMWithWire(t, platform.Requests{}, retries, route, service, servers...)
+	return newVMWith(t, platform.Requests{}, netwire.Dial, retries, route, service, servers...)
 }
 
-// newVMWithWire is newVM with the given Wire.
-func newVMWithWire(t *testing.T, wire relay.Wire, retries budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (vm *httptest.Server, d *relay.Dispatcher, configure func()) {
+// newVMWith is newVM with the given Wire and way to the servers.
+func newVMWith(t *testing.T, wire relay.Wire, dial netwire.DialFunc, retries budget.Options, route routes.Route, service routes.Service, servers ...*httptest.Server) (vm *httptest.Server, d *relay.Dispatcher, configure func()) {
 	start := time.Now()
 	d = relay.NewDispatcher(func() time.Duration { return time.Since(start) + time.Second }, budget.New(retries))
 	table := routes.New(1, routes.Limits{}, []routes.Route{route}, []routes.Service{service}, nil)
@@ -98,7 +98,7 @@
 	}
 	d.WithFleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
 	d.SetMembers("vm-1", []lease.VM{{Name: "vm-1", DataCentre: "a"}})
-	connector := serverconn.New(serverconn.Options{Log: logr.Discard(), Dial: new(net.Dialer).DialContext, Now: bootclock.Now, Service: d.ServiceAt})
+	connector := serverconn.New(serverconn.Options{Log: logr.Discard(), Dial: dial, Now: bootclock.Now, Service: d.ServiceAt})
 	go func() { _ = connector.Run(t.Context()) }()
 	vm = httptest.NewServer(relay.New(relay.Options{
 		Servers: connector, Log: logr.Discard(), Wire: wire, Engines: &engines{reportCalls: make(map[string]int)}, Dispatcher: d, DataCentre: "a",
--- a/internal/relay/isolated_test.go
+++ b/internal/relay/isolated_test.go
@@ -9,6 +9,8 @@
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/testutil/cutlink"
+	"oleandershunt.example/oleandershunt/platform"
 )
 
 // Guards against a VM that reaches no server using up the retries of all VMs with attempts that
@@ -20,12 +22,11 @@
 			g := NewWithT(t)
 			servers := []*signalServer{{}, {}, {}}
 			first, second, third := servers[0].start(t), servers[1].start(t), servers[2].start(t)
-			vm, dispatcher, configure := newVM(t, budget.Options{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second, MinVMs: 1}, route, serviceOf(route), first, second, third)
+			link := cutlink.New()
+			vm, dispatcher, configure := newVMWith(t, platform.Requests{}, link.Dial, budget.Options{Ratio: 0.2, Slack: 1000, Window: 10 * time.Second, MinVMs: 1}, route, serviceOf(route), first, second, third)
 			configure()
 			g.Expect(statusOf(g, vm, "first")).To(Equal(http.StatusOK))
-			first.Close()
-			second.Close()
-			third.Close()
+			link.Set(cutlink.Reset)
 			const requests = 40
 			for i := range requests {
 				g.Expect(statusOf(g, vm, fmt.Sprint("r", i))).To(Equal(http.StatusServiceUnavailable))
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -137,7 +137,7 @@
 func (w *watchdog) handleNoReport(first backends.Server, err error) {
 	verdict := w.h.Servers.Check(w.o.ctx, first.Address)
 	switch {
-	case w.o.ctx.Err() != nil:
+	case w.o.ctx.Err() != nil: // the attempt has ended
 	case verdict == serverconn.PathLost && w.endIfPathLost():
 	case verdict == serverconn.Unknown && w.h.Servers.Isolated(w.x.service.Name):
 		w.resetTimer(w.h.StallTimeout / 2)
--- a/internal/relay/signals_test.go
+++ b/internal/relay/signals_test.go
@@ -17,6 +17,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/relay"
+	netwire "oleandershunt.example/oleandershunt/internal/wire"
 	"oleandershunt.example/oleandershunt/platform"
 )
 
@@ -212,7 +213,7 @@
 						d.WithFleet(apply)
 					}
 				}}
-				vm, dispatcher, configure := newVMWithWire(t, wire, budget.Options{Window: 10 * time.Second, MinVMs: 1}, route, serviceOf(route), unavailable.start(t), free.start(t))
+				vm, dispatcher, configure := newVMWith(t, wire, netwire.Dial, budget.Options{Window: 10 * time.Second, MinVMs: 1}, route, serviceOf(route), unavailable.start(t), free.start(t))
 				d = dispatcher
 				configure()
 				g.Expect(statuses(load(g, vm, 20, 300*time.Millisecond))).To(Equal(map[int]int{http.StatusOK: 6}), "withheld attempts take no retry")
--- a/internal/serverconn/probe.go
+++ b/internal/serverconn/probe.go
@@ -40,9 +40,9 @@
 
 // round is a round of probes of one service.
 type round struct {
-	service      string
-	due, failing []string
-	before       reach.State
+	service     string
+	due, silent []string
+	before      reach.State
 }
 
 // probe connects to the servers that are due.
@@ -63,9 +63,9 @@
 		c.mu.Unlock()
 		switch {
 		case after == reach.Isolated:
-			listener.Unreachable(r.failing)
+			listener.Unreachable(r.silent)
 		case r.before == reach.Isolated:
-			listener.Reachable(r.failing)
+			listener.Reachable(r.silent)
 		}
 	}
 }
@@ -79,7 +79,7 @@
 	var rounds []round
 	for service, paths := range c.services {
 		if due, pending := paths.NextProbe(now); pending && due <= now {
-			rounds = append(rounds, round{service: service, due: paths.Probes(now), failing: paths.Failing(), before: paths.State()})
+			rounds = append(rounds, round{service: service, due: paths.Probes(now), silent: paths.FailingSilently(), before: paths.State()})
 		}
 	}
 	return rounds, c.listener
