Remember that a server was silent when another VM asks for it

The time limit of the tunnel's server ended a connect at the same moment as the connector's own, which then took it for a request that was given up: each VM that asked for a tunnel to a silent server waited 200 ms anew. The connector bounds the connect.

--- a/internal/serverconn/connector_test.go
+++ b/internal/serverconn/connector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -23,6 +24,9 @@
 
 const service = "llm"
 
+// errSilent makes a direct connect get no response.
+var errSilent = errors.New("silent")
+
 // rig is a connector whose direct paths and whose tunnels fail as the test says.
 type rig struct {
 	*WithT
@@ -34,9 +38,9 @@
 	// direct are the errors of direct connects by address, and through that of tunnels.
 	direct  map[string]error
 	through error
-	// tunnels counts the tunnels that were opened.
-	tunnels int
-	logged  []string
+	// tunnels counts the tunnels that were opened, and dials the direct connects.
+	tunnels, dials int
+	logged         []string
 }
 
 func newRig(t *testing.T) *rig {
@@ -77,7 +81,12 @@
 func (r *rig) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	r.mu.Lock()
 	err := r.direct[address]
+	r.dials++
 	r.mu.Unlock()
+	if errors.Is(err, errSilent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -154,6 +163,25 @@
 	}, "2s").Should(Succeed())
 }
 
+// Guards against connecting again and again, for other VMs, to a server that doesn't respond.
+func TestASilentServerIsNotTriedForEachVM(t *testing.T) {
+	r := newRig(t)
+	r.connectAll(t)
+	r.fail(errSilent, tunnel.ErrNoVM)
+	_, err := r.connector.ConnectForPeer(t.Context(), r.servers[0])
+	r.Expect(err).To(MatchError(tunnel.ErrServerSilent))
+	r.mu.Lock()
+	before := r.dials
+	r.mu.Unlock()
+	for range 5 {
+		_, err = r.connector.ConnectForPeer(t.Context(), r.servers[0])
+		r.Expect(err).To(MatchError(tunnel.ErrServerSilent))
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Expect(r.dials).To(Equal(before))
+}
+
 // Guards against needing a request to find out that a path works again, and against a loss that
 // on-call can't see.
 func TestALostPathIsFoundToWorkAgain(t *testing.T) {
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -26,7 +26,8 @@
 
 // ServerOptions are the dependencies of a Server.
 type ServerOptions struct {
-	// Connect connects to a backend server directly. It returns one of this package's errors.
+	// Connect connects to a backend server directly, within ConnectTimeout. It returns one of this
+	// package's errors.
 	Connect func(ctx context.Context, address string) (net.Conn, error)
 	// Registered reports whether a backend server is registered at an address.
 	Registered func(address string) bool
@@ -66,9 +67,7 @@
 		return ErrUnavailable
 	}
 	defer s.end()
-	ctx, cancel := context.WithTimeout(r.Context(), ConnectTimeout)
-	defer cancel()
-	server, err := s.options.Connect(ctx, r.Host)
+	server, err := s.options.Connect(r.Context(), r.Host)
 	if err != nil {
 		return err
 	}
