--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -13,6 +13,8 @@
 	// linkCuts is the number of cuts of a series, and linkPause the time between two.
 	linkCuts  = 3
 	linkPause = 500 * time.Millisecond
+	// minCutServing is how long a VM that is cut off must serve at least before the cut ends.
+	minCutServing = 2 * time.Second
 	// maxCutFailures and maxCutFailureShare bound the requests that fail at VMs that are cut off from
 	// the servers, if they are served less than minCutServed times as often as the others.
 	maxCutFailures     = 10
@@ -20,6 +22,9 @@
 	minCutServed       = 2.0 / 3
 )
 
+// cutTime is how long a fault cuts VMs off from the servers.
+func cutTime(f Fault) time.Duration { return bounds.Contact + minCutServing + f.For }
+
 // setLinks sets the state of a VM's links to the servers, which its program reads from a file.
 func (v *vm) setLinks(state cutlink.State) error {
 	return os.WriteFile(v.settings+".links", []byte(state), 0o600)
@@ -35,7 +40,7 @@
 		errs := make([]error, len(w.vms))
 		for i, v := range w.vms {
 			if v.DataCentre == target.DataCentre {
-				cuts.Go(func() { errs[i] = w.cutLinks(v, state, bounds.Contact+f.For) })
+				cuts.Go(func() { errs[i] = w.cutLinks(v, state, cutTime(f)) })
 			}
 		}
 		cuts.Wait()
@@ -54,7 +59,7 @@
 		}
 		return nil
 	default:
-		return w.cutLinks(target, state, bounds.Contact+f.For)
+		return w.cutLinks(target, state, cutTime(f))
 	}
 }
 
@@ -76,7 +81,7 @@
 func (f *observations) checkCutOff() []finding {
 	var cut, others served
 	for _, r := range f.requests {
-		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedBut(r) {
+		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) {
 			continue
 		}
 		switch {
@@ -93,17 +98,10 @@
 	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, the others %d of %d", cut.complete, cut.all, others.complete, others.all)}}
 }
 
-// undisturbedBut reports whether nothing but links were disturbed around a request.
-func (f *observations) undisturbedBut(r request) bool {
-	if !f.vms[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) || !f.stops[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) || !f.store.undisturbed(r.sent, r.ended, f.bounds.Contact) {
-		return false
-	}
-	for _, disturbed := range f.servers {
-		if !disturbed.undisturbed(r.sent, r.ended, f.bounds.Contact) {
-			return false
-		}
-	}
-	return true
+// undisturbedVM reports whether the VM of a request was not disturbed itself. What is done to the
+// store and to servers concerns all VMs alike.
+func (f *observations) undisturbedVM(r request) bool {
+	return f.vms[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) && f.stops[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact)
 }
 
 // anyCut reports whether some VM was cut off from the servers at a request.
