Log and count each server that is lost while it runs a request, with the verdict of its check

On-call could not tell a loss that was taken off the record, because no VM reached the service, from one that waited for proof: event 4222 and oleandershunt_relay_losses_total give the verdict and whether the loss counts against the request's body.

--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -81,6 +81,8 @@
 	pathCheckLimiter *rate.Limiter
 	// lateLogLimiter limits the log lines on late responses.
 	lateLogLimiter *rate.Limiter
+	// lossLogLimiter limits the log lines on lost servers.
+	lossLogLimiter *rate.Limiter
 	signals        *Signals
 }
 
@@ -99,6 +101,7 @@
 		silentServers:    newSilentServers(),
 		pathCheckLimiter: rate.NewLimiter(pathChecksPerSecond, 1),
 		lateLogLimiter:   rate.NewLimiter(lateLogsPerSecond, lateLogBurst),
+		lossLogLimiter:   rate.NewLimiter(lossLogsPerSecond, lossLogBurst),
 		signals:          NewSignals(options.Log, options.Dispatcher),
 	}
 	options.Servers.SetListener(pathListener{h})
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
@@ -20,6 +23,9 @@
 	// unreachableTime keeps new requests off a server that no VM reaches. It is renewed at each
 	// probe.
 	unreachableTime = time.Second
+	// lossLogsPerSecond and lossLogBurst limit the log lines on lost servers.
+	lossLogsPerSecond = 5
+	lossLogBurst      = 20
 	// pathChecksPerSecond limits the checks of paths by attempts without a watchdog. Each opens a
 	// connection, which may take a slot of a small server.
 	pathChecksPerSecond = 1
@@ -72,7 +78,19 @@
 		return false
 	}
 	verdict := h.Servers.Check(x.ctx, o.choice.First.Address)
-	return verdict == serverconn.PathLost || verdict == serverconn.Unknown && h.Servers.Isolated(x.service.Name)
+	isolated := h.Servers.Isolated(x.service.Name)
+	byPath := verdict == serverconn.PathLost || verdict == serverconn.Unknown && isolated
+	h.logLoss(x, o, verdict, isolated, !byPath)
+	return byPath
+}
+
+// logLoss logs and counts a server that was lost while it ran a request.
+func (h *Handler) logLoss(x *exchange, o *openAttempt, verdict serverconn.Verdict, isolated, counted bool) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_losses_total{verdict=%q,counted=\"%t\"}", verdict, counted)).Inc()
+	if h.lossLogLimiter.Allow() {
+		telemetry.RelayServerLost.Log(h.Log, "request", x.call.ID, "service", x.service.Name, "server", o.choice.First.ID, "verdict", verdict.String(),
+			"isolated", isolated, "counted", counted, "account", x.account.Name, "path", x.poison.Pipeline, "hash", x.poison.Hash, "events", x.events)
+	}
 }
 
 // pathListener acts on what is found out about the paths to servers.
--- a/internal/serverconn/check.go
+++ b/internal/serverconn/check.go
@@ -26,6 +26,11 @@
 	Ended
 )
 
+// String returns the verdict's name in logs and metrics.
+func (v Verdict) String() string {
+	return [...]string{Unknown: "unknown", Reached: "reached", PathLost: "path_lost", Ended: "ended"}[v]
+}
+
 // checkReuse is how long a check's verdict is used again: many streams break together.
 const checkReuse = 200 * time.Millisecond
 
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -16,6 +16,7 @@
 	RelayPathLost       = Event{4221, "path to the backend server is lost; the request is resumed"}
 	RelayLate           = Event{4213, "answer was late"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
+	RelayServerLost     = Event{4222, "backend server lost while it ran a request"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
