--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -63,16 +63,7 @@
 // newEmptyCutoffRig starts the VMs without servers.
 func newEmptyCutoffRig(t *testing.T, dataCentres ...string) *cutoffRig {
 	r := &cutoffRig{WithT: NewWithT(t), t: t, store: newMemoryStore(), runs: make(map[string]int), timeouts: make(map[string]time.Duration), release: make(chan struct{})}
-	stream := route("/stream/", routes.Resumable, true)
-	stream.TargetLatency, stream.Timeout = 500*time.Millisecond, 20*time.Second
-	stream.Shares = []routes.Share{{Service: "llm", Weight: 1}}
-	engine := &routes.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: time.Millisecond, TypicalPrompt: 100, TypicalAnswer: 10, Cards: map[string]routes.Card{"c": {MB: 200_000, Pace: 1}}}
-	r.store.set("config", "main", tableValue{
-		Version:  1,
-		Routes:   []routes.Route{route("/plain/", routes.Repeatable, false), route("/once/", routes.AtMostOnce, false), stream},
-		Keys:     map[string]routes.Account{"key": {Name: "account"}},
-		Services: []routes.Service{{Name: "app"}, {Name: "llm", Engine: engine}},
-	})
+	r.store.set("config", "main", cutoffTable())
 	seed := ""
 	for i, dataCentre := range dataCentres {
 		link := cutlink.New()
@@ -85,6 +76,20 @@
 	return r
 }
 
+// cutoffTable is a configuration with a plain service and a model.
+func cutoffTable() tableValue {
+	stream := route("/stream/", routes.Resumable, true)
+	stream.TargetLatency, stream.Timeout = 500*time.Millisecond, 20*time.Second
+	stream.Shares = []routes.Share{{Service: "llm", Weight: 1}}
+	engine := &routes.Engine{Layers: 80, LayerMB: 1750, TokenBytes: 918_000, Step: time.Millisecond, TypicalPrompt: 100, TypicalAnswer: 10, Cards: map[string]routes.Card{"c": {MB: 200_000, Pace: 1}}}
+	return tableValue{
+		Version:  1,
+		Routes:   []routes.Route{route("/plain/", routes.Repeatable, false), route("/once/", routes.AtMostOnce, false), stream},
+		Keys:     map[string]routes.Account{"key": {Name: "account"}},
+		Services: []routes.Service{{Name: "app"}, {Name: "llm", Engine: engine}},
+	}
+}
+
 func modelServer() backends.Server {
 	return backends.Server{Service: "llm", Card: "c", LayerRanges: []backends.LayerRange{{Layers: api.Layers{To: 80}}}}
 }
