Hold back what several servers were lost under until a trial shows whether it ends them

Cause: a loss counted only once it was proven, and was dropped while no VM reached the service, which is just what the end of all its servers looks like. In the record three servers ended within 0.15 s, five of nine VMs saw the service as isolated, and no VM counted three crashes when the servers were back.

Now each loss that may have been an end is told to all VMs at once, proven or not. After three processes lost under one body, without an answer, requests with it are refused (503 held_back, not run), but for trials: two VMs at a time, in windows of 0.3 s in 1.2 s. An answer clears the body everywhere; two lost trials block it. A loss that another VM can explain (it connects to the server) doesn't count, so lost links still implicate nothing; where no VM reaches a server, holding back costs nothing, and the servers' responses clear it later.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -37,7 +37,9 @@
 	*cutoffRig
 	// unanswered makes connects to a server that is down get no response.
 	unanswered bool
-	servers    []*mortalServer
+	// dark makes a server that ends leave its connections open without a response until it restarts.
+	dark    bool
+	servers []*mortalServer
 
 	crashMu sync.Mutex
 	// sends are the times at which such requests reached a server, and ends those at which a server
@@ -111,6 +113,9 @@
 func (s *mortalServer) start() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.server != nil {
+		_ = s.server.Close()
+	}
 	listener, err := net.Listen("tcp", cmp.Or(s.address, "127.0.0.1:0"))
 	if err != nil {
 		listener, err = net.Listen("tcp", "127.0.0.1:0")
@@ -155,7 +160,9 @@
 	s.rig.crashMu.Lock()
 	s.rig.ends = append(s.rig.ends, time.Now())
 	s.rig.crashMu.Unlock()
-	s.stop()
+	if !s.rig.dark {
+		s.stop()
+	}
 	time.AfterFunc(s.downTime(), s.start)
 }
 
@@ -169,6 +176,9 @@
 		r.recordSend()
 		time.Sleep(crashDelay)
 		s.end()
+		if r.dark {
+			<-request.Context().Done()
+		}
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -235,19 +245,22 @@
 		name         string
 		servers, vms int
 		unanswered   bool
+		dark         bool
 		cut          int
 		state        cutlink.State
 	}{
-		{"all servers refuse", 3, 3, false, 0, cutlink.Up},
-		{"all servers are silent", 3, 3, true, 0, cutlink.Up},
-		{"some of five servers are silent", 5, 3, true, 0, cutlink.Up},
-		{"four of six VMs are cut off", 5, 6, false, 4, cutlink.Silent},
-		{"four of nine VMs are refused", 3, 9, false, 4, cutlink.Reset},
-		{"VMs are cut off from silent servers", 3, 6, true, 3, cutlink.Reset},
+		{"all servers refuse", 3, 3, false, false, 0, cutlink.Up},
+		{"all servers are silent", 3, 3, true, false, 0, cutlink.Up},
+		{"some of five servers are silent", 5, 3, true, false, 0, cutlink.Up},
+		{"servers leave open connections silent", 5, 3, true, true, 0, cutlink.Up},
+		{"four of six VMs are cut off", 5, 6, false, false, 4, cutlink.Silent},
+		{"four of nine VMs are refused", 3, 9, false, false, 4, cutlink.Reset},
+		{"VMs are cut off from silent servers", 3, 6, true, false, 3, cutlink.Reset},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
 			r := newCrashRig(t, test.vms, test.unanswered)
+			r.dark = test.dark
 			r.addServers(test.servers, backends.Server{Service: "app"}, r.plainServer)
 			for i, vm := range r.vms {
 				r.Expect(vm.callUntilOK("/plain/a", fmt.Sprint("warm-", i)).Body.Close()).To(Succeed())
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -47,6 +47,8 @@
 	// unsent: nothing was sent, as the server stopped accepting requests before the request was
 	// written.
 	unsent
+	// heldBack: nothing was sent, as what the request contains has been held back meanwhile.
+	heldBack
 )
 
 // openAttempt is an attempt in progress. response is nil until the head of the response has
@@ -92,6 +94,9 @@
 
 // send makes the attempt and reads the head of its response.
 func (h *Handler) send(x *exchange, o *openAttempt) outcome {
+	if !h.suspects.mayGoOn(x) {
+		return heldBack
+	}
 	h.countRateLimited(x, o)
 	x.sends++
 	start := time.Now()
@@ -108,6 +113,7 @@
 	head := h.Wire.ReadResponse(response)
 	h.signals.Apply(signalsOf(x, o, head))
 	h.Dispatcher.recordExecution(o, head)
+	h.recordResponse(x, o, head)
 	if head.NotRun {
 		o.stopWatchdog()
 		return h.handleNotExecuted(x, o, head, time.Since(start))
@@ -140,7 +146,7 @@
 }
 
 func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt) (*http.Response, *wire.Sent, error) {
-	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.stillAccepts(o.sentTo) })
+	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.stillAccepts(o.sentTo) && h.suspects.mayGoOn(x) })
 	o.sent.Store(sent)
 	o.sentAt = bootclock.Now()
 	response, err := transport.RoundTrip(h.serverRequest(ctx, x, o.sentTo))
@@ -164,6 +170,7 @@
 	if x.ctx.Err() != nil {
 		if sent {
 			x.mayHaveRun = true
+			h.recordUnanswered(x, o)
 			return uncertain
 		}
 		return notExecuted
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -12,10 +12,14 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
+	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
 
+// roleTrials is the role whose ranking is the order in which VMs may run trials.
+const roleTrials = "trials"
+
 // Dispatcher holds the routing state of this VM and serialises its routing decisions. It is
 // safe for concurrent use.
 type Dispatcher struct {
@@ -27,6 +31,8 @@
 	table  *routes.Table
 	// configured is closed when the first configuration is applied.
 	configured chan struct{}
+	// vms is this VM's place among the live VMs.
+	vms quarantine.VMs
 	// queued counts the requests waiting for a server's request rate, by service.
 	queued map[string]int
 }
@@ -221,6 +227,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.SetMembers(d.now(), self, vms)
+	d.vms = quarantine.VMs{Position: lease.Position(lease.Rank(roleTrials, "", vms), self), Count: len(vms)}
+}
+
+// place returns this VM's place among the live VMs.
+func (d *Dispatcher) place() quarantine.VMs {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.vms
 }
 
 // joinRateQueue counts a request as waiting for a server's request rate until leave is called.
--- a/internal/relay/firstattempt.go
+++ b/internal/relay/firstattempt.go
@@ -45,6 +45,8 @@
 		x.recordFirst(firstLeft, o.way())
 	case result == responded && o.response.StatusCode < http.StatusInternalServerError:
 		x.recordFirst(firstServed, o.way())
+	case result == heldBack:
+		x.recordFirst(firstNone, wayNone)
 	case result == notExecuted:
 		x.recordFirst(firstRefused, o.way())
 	default:
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -18,6 +18,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/poison"
+	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
@@ -60,6 +61,8 @@
 	// OnUnresponsive, if set, is called with the ID of a server that another server waits for without a
 	// response.
 	OnUnresponsive func(id string)
+	// OnLoss, if set, is called at once after findings on lost servers for the other VMs.
+	OnLoss func()
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
 	// Servers connects to backend servers. Nil means directly only, without probes of lost paths.
@@ -123,7 +126,11 @@
 	body    []byte
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
-	start  time.Time
+	// contents are what the request has in common with others that may crash servers. trial
+	// identifies the request as the trial of some of them; 0 if it is none.
+	contents []quarantine.Content
+	trial    uint64
+	start    time.Time
 	// avoid lists the servers that failed the request.
 	avoid []string
 	// ranOn lists the servers that ran the request or may have. Those that broke it off while
@@ -147,6 +154,8 @@
 	deferReason Reason
 	retryIn     time.Duration
 	timing      deliveryTiming
+	// begun is set once the contents were cleared since the stream has begun.
+	begun bool
 	// events counts the delivered events; after is the ID of the last one.
 	events int
 	after  string
@@ -166,11 +175,13 @@
 		return
 	}
 	defer h.bodyBytes.Add(-int64(len(x.body)))
-	if x.poison = poisonBody(x); !h.suspects.begin(x.poison) {
-		h.refuse(x, poisonRefusal())
+	x.poison = poisonBody(x)
+	x.contents = contentsOf(x)
+	if refused := h.suspects.begin(x, h.Dispatcher.place()); refused != nil {
+		h.refuse(x, refused)
 		return
 	}
-	defer h.suspects.end(x.poison)
+	defer h.suspects.end(x)
 	limit := x.timeLimit()
 	if limit < 0 {
 		h.refuse(x, notRunRefusal(ReasonDeadlineSpent, retryAfterDefault))
@@ -315,8 +326,8 @@
 // recordCompleted records a response that was forwarded completely.
 func (h *Handler) recordCompleted(x *exchange, o *openAttempt, status int) {
 	h.logLate(x, o)
-	if status < http.StatusInternalServerError {
-		h.suspects.clear(x.poison)
+	if status < http.StatusBadRequest {
+		h.recordAnswer(x)
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_answered_total{status=\"%d\"}", status)).Inc()
 	metrics.GetOrCreateHistogram("oleandershunt_relay_seconds").UpdateDuration(x.start)
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -9,6 +9,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
@@ -23,6 +24,10 @@
 	// unreachableTime keeps new requests off a server that no VM reaches. It is renewed at each
 	// probe.
 	unreachableTime = time.Second
+	// minUnansweredTime is how long a server must leave a request without a response for that to say
+	// anything about it, and unansweredCheckTimeout bounds the check of the server then.
+	minUnansweredTime      = 500 * time.Millisecond
+	unansweredCheckTimeout = time.Second
 	// lossLogsPerSecond and lossLogBurst limit the log lines on lost servers.
 	lossLogsPerSecond = 5
 	lossLogBurst      = 20
@@ -64,24 +69,62 @@
 	return x.events == 0 && h.Servers.Isolated(x.service.Name)
 }
 
-// brokenByPath reports whether an attempt's connection broke because this VM's path to the server
-// is lost, or all its paths.
+// lossCause is why an attempt's connection broke.
+type lossCause int
+
+const (
+	// notLost: the caller, the time limit or the watchdog ended the attempt, or its response was
+	// too long.
+	notLost lossCause = iota
+	// lossOfServer: the server has ended, or closed the connection.
+	lossOfServer
+	// lossOfPath: this VM's path to the server is lost, since another VM connects to it.
+	lossOfPath
+	// lossUnexplained: no VM reaches a server of the service. All of them ended, or all paths are
+	// lost.
+	lossUnexplained
+)
+
+// examineLoss finds out why an attempt's connection broke.
 //
 // What can go wrong: a VM that loses its links has the connections to several servers reset, and is
-// then refused by each, which looks as if they had crashed. If it counted these losses, a body that
-// was running on several servers would be refused by all VMs.
-func (h *Handler) brokenByPath(x *exchange, o *openAttempt, err error) bool {
+// then refused by each, which looks as if they had crashed. If it counted these losses as crashes, a
+// body that was running on several servers would be refused by all VMs for long.
+func (h *Handler) examineLoss(x *exchange, o *openAttempt, err error) lossCause {
 	if errors.Is(context.Cause(o.ctx), errPathLost) {
-		return true
+		return lossOfPath
 	}
 	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) {
-		return false
+		return notLost
 	}
-	verdict := h.Servers.Check(x.ctx, o.choice.First.Address)
+	verdict, cause := h.Servers.Check(x.ctx, o.choice.First.Address), lossOfServer
 	isolated := h.Servers.Isolated(x.service.Name)
-	byPath := verdict == serverconn.PathLost || verdict == serverconn.Unknown && isolated
-	h.logLoss(x, o, verdict, isolated, !byPath)
-	return byPath
+	switch {
+	case verdict == serverconn.PathLost:
+		cause = lossOfPath
+	case verdict == serverconn.Unknown && isolated:
+		cause = lossUnexplained
+	}
+	h.logLoss(x, o, verdict, isolated, cause == lossOfServer)
+	return cause
+}
+
+// recordUnanswered records a server that left a request without a response until the caller or the
+// time limit ended it, if no VM connects to the server any more.
+func (h *Handler) recordUnanswered(x *exchange, o *openAttempt) {
+	unansweredAt, server := bootclock.Now(), o.choice.First
+	if unansweredAt-o.sentAt < minUnansweredTime || h.Dispatcher.draining(server.ID) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), unansweredCheckTimeout)
+		defer cancel()
+		verdict := h.Servers.Check(ctx, server.Address)
+		if verdict == serverconn.Ended || verdict == serverconn.Unknown {
+			h.logLoss(x, o, verdict, h.Servers.Isolated(x.service.Name), false)
+			h.quarantineLoss(x, server, unansweredAt, true)
+		}
+	}()
 }
 
 // logLoss logs and counts a server that was lost while it ran a request.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -36,6 +36,10 @@
 		if result == unsent {
 			continue
 		}
+		if result == heldBack {
+			h.refuse(x, x.heldRefusal())
+			return
+		}
 		reason, wait = refusalReason(result), waitLimits{}
 		if result != responded && !h.mayRetry(x, result) {
 			h.refuse(x, x.finalRefusal(reason))
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +11,7 @@
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/poison"
+	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
@@ -36,6 +36,15 @@
 	Suspected bool   `json:"s,omitempty"`
 	Server    string `json:"v"`
 	Process   uint64 `json:"i,omitempty"`
+	// Begun is set if the body's response had begun, and Unreached if no VM reached a server of the
+	// service, so that the links may have been lost. Both are set for suspected ones only.
+	Begun     bool `json:"b,omitempty"`
+	Unreached bool `json:"u,omitempty"`
+	// Trial identifies the trial that was lost; 0 if the request was none.
+	Trial uint64 `json:"r,omitempty"`
+	// Answered is the hash of a body that was answered, so that earlier losses don't count. Hash is
+	// 0 then, for which earlier builds ignore a finding.
+	Answered uint64 `json:"z,omitempty"`
 	// AgeMS is the time since the crash, in milliseconds.
 	AgeMS int64 `json:"t"`
 }
@@ -51,8 +60,12 @@
 type poisonSuspects struct {
 	mu    sync.Mutex
 	table *poison.Table
+	// quarantine holds back what requests have in common on which several servers were lost.
+	quarantine *quarantine.Table
 	// pendingFindings are queued for the other VMs.
-	pendingFindings []poison.Finding
+	pendingFindings []timedFinding
+	// reporting is set while findings are collected for a report.
+	reporting bool
 	// running counts this VM's requests in flight by body.
 	running map[poison.Body]int
 	// changed wakes RunPoisonDetection when an evaluation may be due.
@@ -65,7 +78,7 @@
 const suspectTime = 30 * time.Second
 
 func newPoisonSuspects() *poisonSuspects {
-	return &poisonSuspects{table: poison.New(poison.Options{SuspectTime: suspectTime}), running: make(map[poison.Body]int), changed: make(chan struct{}, 1)}
+	return &poisonSuspects{table: poison.New(poison.Options{SuspectTime: suspectTime}), quarantine: quarantine.New(), running: make(map[poison.Body]int), changed: make(chan struct{}, 1)}
 }
 
 // wake wakes RunPoisonDetection if something is pending. s.mu must be held.
@@ -102,26 +115,38 @@
 // processID distinguishes one process of a server from the next.
 func processID(id string) uint64 { return max(xxhash.Sum64String(id), 1) }
 
-// begin reports whether a request may run, and counts it if so. A body that alone explains the
+// begin returns why a request may not run, or nil and counts it. A body that alone explains the
 // crashes of several servers may not run. A body that ran on several crashed servers runs one
-// request at a time, so that a response soon clears one that is harmless.
-func (s *poisonSuspects) begin(body poison.Body) bool {
+// request at a time, so that a response soon clears one that is harmless. What is held back runs as
+// a trial only.
+func (s *poisonSuspects) begin(x *exchange, vms quarantine.VMs) *refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	level := s.table.Level(bootclock.Now(), body)
-	if level == poison.Blocked || level == poison.Isolate && s.running[body] > 0 {
-		return false
+	level := s.table.Level(bootclock.Now(), x.poison)
+	if level == poison.Blocked || level == poison.Isolate && s.running[x.poison] > 0 {
+		return poisonRefusal()
 	}
-	s.running[body]++
-	return true
+	request := max(xxhash.Sum64String(x.call.ID), 1)
+	state, _, trial := s.quarantine.Admit(bootclock.Now(), x.contents, request, vms)
+	if refused := refusalOf(state); refused != nil {
+		return refused
+	}
+	if trial {
+		x.trial = request
+	}
+	s.running[x.poison]++
+	return nil
 }
 
 // end removes a request counted by begin.
-func (s *poisonSuspects) end(body poison.Body) {
+func (s *poisonSuspects) end(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.running[body]--; s.running[body] <= 0 {
-		delete(s.running, body)
+	if x.trial != 0 {
+		s.quarantine.EndTrial(x.contents, x.trial)
+	}
+	if s.running[x.poison]--; s.running[x.poison] <= 0 {
+		delete(s.running, x.poison)
 	}
 }
 
@@ -130,10 +155,10 @@
 const maxLosses = 3
 
 // retryAllowed reports whether a request on which servers were lost may have another attempt.
-func (s *poisonSuspects) retryAllowed(body poison.Body) bool {
+func (s *poisonSuspects) retryAllowed(x *exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.CrashCount(bootclock.Now(), body) < maxLosses
+	return s.table.CrashCount(bootclock.Now(), x.poison) < maxLosses && s.stateLocked(x) == quarantine.Clear
 }
 
 // recordLoss records that the connection to a server broke while the request was running.
@@ -143,15 +168,21 @@
 	defer s.wake()
 	now := bootclock.Now()
 	loss := poison.Loss{Server: server.Address, Incarnation: processID(server.ID), Body: body, Progress: events, Sent: sent}
-	if s.table.RecordLoss(now, loss) {
-		s.queueFinding(poison.Finding{
-			Body: body, Crashes: s.table.CrashCount(now, body), Unproven: true,
-			Server: server.Address, Incarnation: loss.Incarnation, At: now,
-		})
-	}
+	s.table.RecordLoss(now, loss)
+}
+
+// timedFinding is a finding for the other VMs. Its age counts from at.
+type timedFinding struct {
+	Finding
+	at time.Duration
+}
+
+func (f timedFinding) aged(now time.Duration) Finding {
+	f.AgeMS = (now - f.at).Milliseconds()
+	return f.Finding
 }
 
-func (s *poisonSuspects) queueFinding(finding poison.Finding) {
+func (s *poisonSuspects) queueFinding(finding timedFinding) {
 	if len(s.pendingFindings) < maxPendingFindings {
 		s.pendingFindings = append(s.pendingFindings, finding)
 	}
@@ -171,6 +202,7 @@
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	h.suspects.table.RecordProbedIncarnation(bootclock.Now(), 0, server.Address, processID(server.ID))
+	h.suspects.quarantine.RecordProcess(processOf(server))
 	h.suspects.wake()
 }
 
@@ -199,7 +231,7 @@
 	defer s.mu.Unlock()
 	var reportable []poison.Finding
 	for _, finding := range s.table.Evaluate(bootclock.Now()) {
-		s.queueFinding(finding)
+		s.queueFinding(newTimedFinding(finding))
 		if finding.Crashes > 1 || finding.Blocked {
 			reportable = append(reportable, finding)
 		}
@@ -211,7 +243,11 @@
 func (h *Handler) TakeFindings() []Finding {
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
-	list := encodeFindings(bootclock.Now(), h.suspects.pendingFindings)
+	now := bootclock.Now()
+	var list []Finding
+	for _, finding := range h.suspects.pendingFindings {
+		list = append(list, finding.aged(now))
+	}
 	h.suspects.pendingFindings = nil
 	return list
 }
@@ -221,65 +257,62 @@
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	now := bootclock.Now()
-	return encodeFindings(now, h.suspects.table.Findings(now, maxPendingFindings))
-}
-
-func encodeFindings(now time.Duration, findings []poison.Finding) []Finding {
 	var list []Finding
-	for _, f := range findings {
-		list = append(list, Finding{
-			Account: f.Account, Path: f.Pipeline, Hash: f.Hash, Crashes: f.Crashes, Condemned: f.Blocked, Suspected: f.Unproven,
-			Server: f.Server, Process: f.Incarnation, AgeMS: (now - f.At).Milliseconds(),
-		})
+	for _, finding := range h.suspects.table.Findings(now, maxPendingFindings) {
+		list = append(list, newTimedFinding(finding).aged(now))
+	}
+	for _, evidence := range h.suspects.quarantine.HeldEvidence(now, maxPendingFindings) {
+		list = append(list, lossFinding(evidence.Content, evidence.Loss).aged(now))
 	}
 	return list
 }
 
+func newTimedFinding(f poison.Finding) timedFinding {
+	return timedFinding{at: f.At, Finding: Finding{
+		Account: f.Account, Path: f.Pipeline, Hash: f.Hash, Crashes: f.Crashes, Condemned: f.Blocked, Suspected: f.Unproven,
+		Server: f.Server, Process: f.Incarnation,
+	}}
+}
+
 // ReceiveFinding applies another VM's finding.
 func (h *Handler) ReceiveFinding(f Finding) {
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	now := bootclock.Now()
+	at := now - time.Duration(f.AgeMS)*time.Millisecond
+	h.mergeQuarantine(now, at, f)
+	if f.Answered != 0 || f.Unreached {
+		return
+	}
 	h.suspects.table.MergeFinding(now, poison.Finding{
 		Body:    poison.Body{Account: f.Account, Pipeline: f.Path, Hash: f.Hash},
 		Crashes: f.Crashes, Blocked: f.Condemned, Unproven: f.Suspected,
-		Server: f.Server, Incarnation: f.Process, At: now - time.Duration(f.AgeMS)*time.Millisecond,
+		Server: f.Server, Incarnation: f.Process, At: at,
 	})
 	h.suspects.wake()
 }
 
-// clear clears a request that completed: a popular request is in flight on every server that
-// crashes.
-func (s *poisonSuspects) clear(body poison.Body) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.table.ClearSuspicionAndLosses(body)
-}
-
 // recordBroken records an attempt whose connection broke after it was sent. The server is to be
-// avoided unless only this VM's path to it is lost.
+// avoided unless it may be only this VM's path to it that is lost.
 func (h *Handler) recordBroken(x *exchange, o *openAttempt, err error) {
-	if h.brokenByPath(x, o, err) {
+	brokenAt, server := bootclock.Now(), o.choice.First
+	cause := h.examineLoss(x, o, err)
+	switch draining := h.Dispatcher.draining(server.ID); {
+	case cause == lossOfServer && draining:
+		x.cutByDrain = append(x.cutByDrain, server.ID)
+	case cause == lossOfServer:
+		h.quarantineLoss(x, server, brokenAt, false)
+		h.suspects.recordLoss(x.poison, server, o.sentAt, x.events)
+	case cause == lossUnexplained && !draining:
+		h.quarantineLoss(x, server, brokenAt, true)
+	}
+	if cause == lossOfPath || cause == lossUnexplained {
 		x.recordRan(o.choice)
 		return
 	}
-	h.recordBrokenConnection(x, o, err)
 	x.recordFailure(o.choice)
 }
 
-// recordBrokenConnection records a broken connection as evidence against the request. A
-// connection ended by the caller, the time limit or the server's planned stop is none.
-func (h *Handler) recordBrokenConnection(x *exchange, o *openAttempt, err error) {
-	if err == nil || x.ctx.Err() != nil || errors.Is(context.Cause(o.ctx), errStalled) {
-		return
-	}
-	if h.Dispatcher.draining(o.choice.First.ID) {
-		x.cutByDrain = append(x.cutByDrain, o.choice.First.ID)
-		return
-	}
-	h.suspects.recordLoss(x.poison, o.choice.First, o.sentAt, x.events)
-}
-
 // poisonRefusal is the refusal of a request that crashes servers. This attempt of it has not
 // run and won't.
 func poisonRefusal() *refusal {
--- /dev/null
+++ b/internal/relay/quarantine.go
@@ -0,0 +1,242 @@
+package relay
+
+import (
+	"cmp"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"oleandershunt.example/oleandershunt/internal/bootclock"
+	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/poison"
+	"oleandershunt.example/oleandershunt/internal/core/quarantine"
+	"oleandershunt.example/oleandershunt/internal/telemetry"
+)
+
+const (
+	// begunEvents is the number of events from which on a stream has begun: what it contains
+	// doesn't end servers that begin to respond to it.
+	begunEvents = 8
+	// retryAfterHeld is the Retry-After of a request that is held back: another VM may run the
+	// trial meanwhile.
+	retryAfterHeld = time.Second
+	// findingsDelay collects the findings of losses at the same moment for one report.
+	findingsDelay = 20 * time.Millisecond
+)
+
+// contentsOf returns what a request has in common with others.
+func contentsOf(x *exchange) []quarantine.Content {
+	return []quarantine.Content{{Account: x.poison.Account, Path: x.poison.Pipeline, Hash: x.poison.Hash}}
+}
+
+func processOf(server backends.Server) quarantine.Process {
+	return quarantine.Process{Address: server.Address, ID: processID(server.ID)}
+}
+
+// refusalOf returns the refusal that a state requires, or nil.
+func refusalOf(state quarantine.State) *refusal {
+	switch state {
+	case quarantine.Blocked:
+		return poisonRefusal()
+	case quarantine.Held:
+		return heldRefusal()
+	default:
+		return nil
+	}
+}
+
+// heldRefusal is the refusal of a request with content that is held back.
+func heldRefusal() *refusal { return notRunRefusal(ReasonHeldBack, retryAfterHeld) }
+
+// heldRefusal is the refusal of a request that is not sent on since its content is held back.
+func (x *exchange) heldRefusal() *refusal {
+	if x.mayHaveRun {
+		return uncertainRefusal(ReasonHeldBack)
+	}
+	return heldRefusal()
+}
+
+// stateLocked returns the worst state of a request's contents. s.mu must be held.
+func (s *poisonSuspects) stateLocked(x *exchange) quarantine.State {
+	now, worst := bootclock.Now(), quarantine.Clear
+	for _, content := range x.contents {
+		worst = max(worst, s.quarantine.State(now, content))
+	}
+	return worst
+}
+
+// mayGoOn reports whether an admitted request may be sent to a server.
+func (s *poisonSuspects) mayGoOn(x *exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table.Level(bootclock.Now(), x.poison) == poison.Blocked {
+		return false
+	}
+	state := s.stateLocked(x)
+	return state == quarantine.Clear || state == quarantine.Held && x.trial != 0
+}
+
+// quarantineLoss records a server that was lost while it ran a request. unreached says that no VM
+// reached a server of its service.
+func (h *Handler) quarantineLoss(x *exchange, server backends.Server, at time.Duration, unreached bool) {
+	loss := quarantine.Loss{Process: processOf(server), At: at, Trial: x.trial}
+	begun := x.events >= begunEvents
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	for _, content := range x.contents {
+		finding := lossFinding(content, loss)
+		finding.Begun, finding.Unreached = begun, unreached
+		finding.Crashes = h.suspects.table.CrashCount(at, x.poison) + 1
+		h.suspects.queueFinding(finding)
+		if !begun {
+			h.recordContentLoss(at, content, loss)
+		}
+	}
+	h.reportLoss()
+}
+
+// reportLoss has the findings sent to the other VMs at once. h.suspects.mu must be held.
+func (h *Handler) reportLoss() {
+	if h.OnLoss == nil || h.suspects.reporting {
+		return
+	}
+	h.suspects.reporting = true
+	time.AfterFunc(findingsDelay, func() {
+		h.suspects.mu.Lock()
+		h.suspects.reporting = false
+		h.suspects.mu.Unlock()
+		h.OnLoss()
+	})
+}
+
+// recordContentLoss records a loss under content, found by this VM or another one. h.suspects.mu
+// must be held.
+func (h *Handler) recordContentLoss(now time.Duration, content quarantine.Content, loss quarantine.Loss) {
+	before := h.suspects.quarantine.State(now, content)
+	after := h.suspects.quarantine.RecordLoss(now, content, loss)
+	if after <= before {
+		return
+	}
+	losses := h.suspects.quarantine.Losses(now, content)
+	if after == quarantine.Held {
+		countContent("held")
+		telemetry.ContentHeld.Log(h.Log, append(contentFields(content), "lost", describeLosses(losses))...)
+		return
+	}
+	countContent("blocked")
+	telemetry.ContentBlocked.Log(h.Log, append(contentFields(content), "lost", describeLosses(losses))...)
+	finding := poison.Finding{
+		Body: bodyOf(content), Crashes: len(losses), Blocked: true,
+		Server: loss.Process.Address, Incarnation: loss.Process.ID, At: now,
+	}
+	h.suspects.table.MergeFinding(now, finding)
+	h.suspects.queueFinding(newTimedFinding(finding))
+}
+
+// bodyOf returns the body that stands for content in findings.
+func bodyOf(content quarantine.Content) poison.Body {
+	return poison.Body{Account: content.Account, Pipeline: content.Path, Hash: content.Hash}
+}
+
+// lossFinding returns the finding on a loss under content.
+func lossFinding(content quarantine.Content, loss quarantine.Loss) timedFinding {
+	return timedFinding{at: loss.At, Finding: Finding{
+		Account: content.Account, Path: content.Path, Hash: content.Hash, Suspected: true,
+		Server: loss.Process.Address, Process: loss.Process.ID, Trial: loss.Trial,
+	}}
+}
+
+// mergeQuarantine applies another VM's finding, made at a time, to what is held back. h.suspects.mu
+// must be held.
+func (h *Handler) mergeQuarantine(now, at time.Duration, f Finding) {
+	content := quarantine.Content{Account: f.Account, Path: f.Path, Hash: cmp.Or(f.Answered, f.Hash)}
+	switch {
+	case content.Hash == 0:
+	case f.Answered != 0:
+		h.clearContent(now, content, at, "another VM's answer")
+	case f.Suspected && !f.Begun:
+		h.recordContentLoss(now, content, quarantine.Loss{Process: quarantine.Process{Address: f.Server, ID: f.Process}, At: at, Trial: f.Trial})
+	}
+}
+
+// recordAnswer clears what a request contains that was answered: a popular request is in flight on
+// every server that crashes.
+func (h *Handler) recordAnswer(x *exchange) {
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	h.suspects.table.ClearSuspicionAndLosses(x.poison)
+	h.clearContents(x)
+}
+
+// recordBegun clears what a stream contains once it has begun.
+func (h *Handler) recordBegun(x *exchange) {
+	if x.begun || x.events < begunEvents {
+		return
+	}
+	x.begun = true
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	h.clearContents(x)
+}
+
+// clearContents clears a request's contents, and tells the other VMs of those that had losses.
+// h.suspects.mu must be held.
+func (h *Handler) clearContents(x *exchange) {
+	now := bootclock.Now()
+	for _, content := range x.contents {
+		if h.clearContent(now, content, now, "answer") {
+			h.suspects.queueFinding(timedFinding{at: now, Finding: Finding{Account: content.Account, Path: content.Path, Answered: content.Hash}})
+			h.reportLoss()
+		}
+	}
+}
+
+// clearContent removes the losses under content before a time, and reports whether there were any.
+// h.suspects.mu must be held.
+func (h *Handler) clearContent(now time.Duration, content quarantine.Content, at time.Duration, by string) bool {
+	before, cleared := h.suspects.quarantine.RecordAnswer(now, content, at)
+	if before != quarantine.Clear && h.suspects.quarantine.State(now, content) == quarantine.Clear {
+		h.logCleared(content, by)
+	}
+	return cleared
+}
+
+// recordResponse records that a process responded to an attempt, so it has not ended before.
+func (h *Handler) recordResponse(x *exchange, o *openAttempt, head ResponseInfo) {
+	if head.ID != x.call.ID || o.response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	for _, content := range h.suspects.quarantine.RecordResponse(bootclock.Now(), processOf(o.sentTo.First), o.sentAt) {
+		h.logCleared(content, "servers respond")
+	}
+}
+
+func (h *Handler) logCleared(content quarantine.Content, by string) {
+	countContent("cleared")
+	telemetry.ContentCleared.Log(h.Log, append(contentFields(content), "by", by)...)
+}
+
+func countContent(decision string) {
+	metrics.GetOrCreateCounter(`oleandershunt_relay_content_total{decision="` + decision + `"}`).Inc()
+}
+
+func contentFields(content quarantine.Content) []any {
+	return []any{"account", content.Account, "path", content.Path, "hash", content.Hash, "part", content.Part}
+}
+
+// describeLosses lists the addresses of lost servers, with "trial" after those lost in a trial.
+func describeLosses(losses []quarantine.Loss) string {
+	var list []string
+	for _, loss := range losses {
+		text := loss.Process.Address
+		if loss.Trial != 0 {
+			text += " trial"
+		}
+		list = append(list, text)
+	}
+	return strings.Join(list, ", ")
+}
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -39,6 +39,7 @@
 	ReasonNoService     Reason = "service_unknown"
 	ReasonDeadlineSpent Reason = "deadline_spent"
 	ReasonPoison        Reason = "crashes_servers"
+	ReasonHeldBack      Reason = "held_back"
 )
 
 // refusal is a response that this VM generates itself.
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -127,7 +127,7 @@
 // mayRunAgain reports whether a request that may run more than once may have another attempt
 // after so many sends, regardless of the shared retry budget.
 func (h *Handler) mayRunAgain(x *exchange, sends int) bool {
-	return sends < maxSends && h.suspects.retryAllowed(x.poison)
+	return sends < maxSends && h.suspects.retryAllowed(x)
 }
 
 // mayRunElsewhere reports whether a request that ran on the given servers may run on one more.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -45,6 +45,10 @@
 		if result == unsent {
 			continue
 		}
+		if result == heldBack {
+			h.abandon(x, started, ReasonHeldBack)
+			return
+		}
 		reason = refusalReason(result)
 		if !h.mayRetry(x, result) {
 			h.abandon(x, started, reason)
@@ -161,6 +165,7 @@
 			x.timing.recordDelivery(x.start, time.Since(start))
 			x.events += events.returned
 			x.after = events.last
+			h.recordBegun(x)
 		}
 		switch {
 		case readErr == io.EOF && events.hasPartial():
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -17,6 +17,9 @@
 	RelayLate           = Event{4213, "answer was late"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 	RelayServerLost     = Event{4222, "backend server lost while it ran a request"}
+	ContentHeld         = Event{4223, "content held back: servers were lost while they ran it"}
+	ContentBlocked      = Event{4224, "content blocked: servers were lost in trials of it"}
+	ContentCleared      = Event{4225, "content cleared: it doesn't crash servers"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
