Read the shared parts of a prompt, and log them with each server that is lost

On-call could not see what requests that end servers have in common: event 4222 names the parts of the prompt but the last, which is the request's own.

--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -132,10 +134,19 @@
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_losses_total{verdict=%q,counted=\"%t\"}", verdict, counted)).Inc()
 	if h.lossLogLimiter.Allow() {
 		telemetry.RelayServerLost.Log(h.Log, "request", x.call.ID, "service", x.service.Name, "server", o.choice.First.ID, "verdict", verdict.String(),
-			"isolated", isolated, "counted", counted, "account", x.account.Name, "path", x.poison.Pipeline, "hash", x.poison.Hash, "events", x.events)
+			"isolated", isolated, "counted", counted, "account", x.account.Name, "path", x.poison.Pipeline, "hash", x.poison.Hash, "parts", formatParts(x.call.SharedParts), "events", x.events)
 	}
 }
 
+// formatParts formats the IDs of parts of a prompt for log lines.
+func formatParts(parts []uint64) string {
+	var list []string
+	for _, part := range parts {
+		list = append(list, strconv.FormatUint(part, 16))
+	}
+	return strings.Join(list, ",")
+}
+
 // pathListener acts on what is found out about the paths to servers.
 type pathListener struct{ h *Handler }
 
--- a/internal/relay/wire.go
+++ b/internal/relay/wire.go
@@ -27,6 +27,9 @@
 	PromptTokens, MaxTokens, EstimatedTokens int
 	// LastEventID is the ID of the last event that the caller has received. Empty for all events.
 	LastEventID string
+	// SharedParts are the IDs of the parts of the prompt, in order, without the last one, which
+	// belongs to the request itself. Other requests have them too.
+	SharedParts []uint64
 }
 
 // Attempt holds the headers that are added to a request for a backend server.
