Find the part of prompts that ends servers, and hold it back like a whole body

Requests were known by the hash of their whole content, so that no evidence added up, and neighbours that were moved from one ended server to the next collected it.

Now the shared parts of a prompt are content like a body: a server that is lost counts against the parts of the requests whose response had not begun, unless the part was answered in the last 30 s, here or, told by three VMs at most, elsewhere. Three lost servers without an answer hold it back, two lost trials block it; parts that are held back together are blocked together only, and each alone gets its own trial. What a blocked part explains no longer counts against others.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -59,6 +59,8 @@
 	At      time.Duration
 	// Trial identifies the trial that was lost; 0 if the request was none.
 	Trial uint64
+	// Joint is set if the trial was one of other content that is held back, too.
+	Joint bool
 }
 
 // State is the restriction on content.
@@ -90,6 +92,8 @@
 	order list.List
 	// open are the processes in the losses.
 	open map[Process]*openProcess
+	// answered are the parts of prompts that were answered.
+	answered answeredParts
 }
 
 // openProcess is a process in the losses of suspects.
@@ -115,7 +119,7 @@
 // RecordLoss records a loss under content and returns the state that follows. The loss may have been
 // found by another VM.
 func (t *Table) RecordLoss(now time.Duration, content Content, loss Loss) State {
-	if now-loss.At >= retention {
+	if now-loss.At >= retention || content.Part && loss.Trial == 0 && t.answered.recently(now, content) {
 		return t.State(now, content)
 	}
 	s := t.find(now, content)
@@ -124,19 +128,58 @@
 	}
 	known, ok := s.losses[loss.Process]
 	if !ok && len(s.losses) >= maxLosses {
-		return t.state(s)
+		t.removeLoss(s, s.leastTelling())
 	}
 	if !ok {
 		t.openLoss(loss)
 	} else {
-		loss.At, loss.Trial = min(known.At, loss.At), max(known.Trial, loss.Trial)
+		loss.At, loss.Trial, loss.Joint = min(known.At, loss.At), max(known.Trial, loss.Trial), known.Joint || loss.Joint
 	}
 	s.losses[loss.Process] = loss
 	t.order.MoveToBack(t.suspects[content])
-	s.blocked = s.blocked || t.failedTrials(s) >= trialsToBlock || s.trials() >= maxTrials
+	if !s.blocked && t.explainsTrials(s) {
+		s.blocked = true
+		t.removeExplained(s)
+	}
 	return t.state(s)
 }
 
+// leastTelling returns the process of the first loss that was no trial, or of the first one.
+func (s *suspect) leastTelling() Process {
+	losses := slices.SortedFunc(maps.Values(s.losses), compareLosses)
+	if i := slices.IndexFunc(losses, func(loss Loss) bool { return loss.Trial == 0 }); i >= 0 {
+		return losses[i].Process
+	}
+	return losses[0].Process
+}
+
+// removeExplained removes the losses that blocked content explains: those under content that was lost
+// in joint trials with it, and, if it is a part of prompts, those under content all of whose servers
+// ran it too.
+func (t *Table) removeExplained(blocked *suspect) {
+	for content, element := range t.suspects {
+		other := element.Value.(*suspect)
+		if content == blocked.content || !other.lostJointlyWith(blocked) && !(blocked.content.Part && other.lostOnlyWith(blocked)) {
+			continue
+		}
+		for process := range blocked.losses {
+			if _, ok := other.losses[process]; ok {
+				t.removeLoss(other, process)
+			}
+		}
+	}
+}
+
+// lostOnlyWith reports whether all losses were of servers that ran other content, too.
+func (s *suspect) lostOnlyWith(other *suspect) bool {
+	for process := range s.losses {
+		if _, ok := other.losses[process]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
 // State returns the restriction on content.
 func (t *Table) State(now time.Duration, content Content) State {
 	s := t.find(now, content)
@@ -171,8 +214,11 @@
 }
 
 // RecordAnswer records that a request with the content was answered at a time, which clears it of
-// earlier losses. It returns the state before if there were any.
+// earlier losses. It returns the state before, and whether there were any.
 func (t *Table) RecordAnswer(now time.Duration, content Content, at time.Duration) (before State, cleared bool) {
+	if content.Part {
+		t.answered.add(now, content)
+	}
 	s := t.find(now, content)
 	if s == nil {
 		return Clear, false
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// settleTime is how long after its last loss content is held back without a trial, so that all
@@ -23,7 +26,8 @@
 
 // Admit decides whether a request with contents may run. It may if none is held back, or as a trial:
 // then it takes the trial of each that is, until EndTrial. request identifies the request and isn't
-// 0. Without leave to run, it returns the worst state and one content in that state.
+// 0. Without leave to run, it returns the worst state and one content in that state. Several
+// contents whose joint trials were lost are blocked together, but each may run without the others.
 func (t *Table) Admit(now time.Duration, contents []Content, request uint64, vms VMs) (worst State, content Content, trial bool) {
 	var held []*suspect
 	for _, c := range contents {
@@ -39,8 +43,11 @@
 	if worst != Held {
 		return worst, content, false
 	}
+	if len(held) > 1 && slices.IndexFunc(held, func(s *suspect) bool { return s.jointTrials() < trialsToBlock }) < 0 {
+		return Blocked, content, false
+	}
 	for _, s := range held {
-		if s.trial != 0 || !t.trialDue(now, s, vms) {
+		if s.trial != 0 || !s.trialDue(now, held[0].content.Hash, vms) {
 			return worst, s.content, false
 		}
 	}
@@ -50,6 +57,17 @@
 	return Clear, Content{}, true
 }
 
+// Joint reports whether several of the contents are held back.
+func (t *Table) Joint(now time.Duration, contents []Content) bool {
+	held := 0
+	for _, c := range contents {
+		if t.State(now, c) != Clear {
+			held++
+		}
+	}
+	return held > 1
+}
+
 // EndTrial ends the trial of a request with contents.
 func (t *Table) EndTrial(contents []Content, request uint64) {
 	for _, c := range contents {
@@ -59,11 +77,11 @@
 	}
 }
 
-// trialDue reports whether this VM may begin a trial of content now. Contents differ in the windows
-// in which their trials begin, so that the trial of one seldom meets another's on a server.
-func (t *Table) trialDue(now time.Duration, s *suspect, vms VMs) bool {
+// trialDue reports whether this VM may begin a trial of content now. The window depends on a hash, so
+// that trials of different contents seldom meet on a server.
+func (s *suspect) trialDue(now time.Duration, hash uint64, vms VMs) bool {
 	const windows = uint64(trialSlot / trialWindow)
-	elapsed := now - s.lastLoss() - settleTime - time.Duration(s.content.Hash%windows)*trialWindow
+	elapsed := now - s.lastLoss() - settleTime - time.Duration(hash%windows)*trialWindow
 	if elapsed < 0 || elapsed%trialSlot >= trialWindow {
 		return false
 	}
@@ -95,15 +113,47 @@
 	return trials
 }
 
-// failedTrials returns the number of lost trials whose server didn't run the trial of other content.
-func (t *Table) failedTrials(s *suspect) int {
-	failed := 0
+// jointTrials returns the number of lost trials of this and other content.
+func (s *suspect) jointTrials() int {
+	joint := 0
+	for _, loss := range s.losses {
+		if loss.Joint {
+			joint++
+		}
+	}
+	return joint
+}
+
+// lostJointlyWith reports whether a joint trial of both contents was lost.
+func (s *suspect) lostJointlyWith(other *suspect) bool {
 	for process, loss := range s.losses {
-		if loss.Trial != 0 && !t.sharedTrial(s, process, loss.Trial) {
-			failed++
+		if loss.Joint && other.losses[process].Trial == loss.Trial {
+			return true
+		}
+	}
+	return false
+}
+
+// explainsTrials reports whether lost trials show that content ends servers: two, of which one at
+// least was of this content alone, or maxTrials if the servers ran other trials as well.
+func (t *Table) explainsTrials(s *suspect) bool {
+	alone, lost, all := 0, 0, 0
+	for process, loss := range s.losses {
+		if loss.Trial == 0 {
+			continue
+		}
+		if !loss.Joint {
+			all++
+		}
+		if t.sharedTrial(s, process, loss.Trial) {
+			continue
+		}
+		lost++
+		if !loss.Joint {
+			alone++
 		}
 	}
-	return failed
+	return alone > 0 && lost >= trialsToBlock || all >= maxTrials
 }
 
 // sharedTrial reports whether a process was lost with the trial of another request, under other
--- a/internal/edge/builds_test.go
+++ b/internal/edge/builds_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"encoding/json"
+	"os"
 	"testing"
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/go-logr/logr"
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
@@ -14,12 +17,13 @@
 	configv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/config/v1"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
 	objects "oleandershunt.example/oleandershunt/internal/platform"
+	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/internal/testutil"
 )
 
 // builds are the earlier builds whose messages stand in testdata. Their VMs run beside those of this
 // build while an operator replaces them.
-var builds = []string{"6645a3c", "db144b9"}
+var builds = []string{"6645a3c", "db144b9", "b54ce8c"}
 
 // Guards against counts that are lost or taken twice between VMs of two builds, and against VMs
 // that retry little because a hub of an earlier build says nothing of what it knows.
@@ -146,3 +150,57 @@
 	g.Expect(answer.GetCountsUnknown()).To(BeFalse())
 	g.Expect(answer.Tally.Counts["llm"].Repeats).To(BeEquivalentTo(10), "nine of a VM that ended")
 }
+
+// earlierFinding is a finding as b54ce8c reads it.
+type earlierFinding struct {
+	Account   string `json:"a,omitempty"`
+	Path      string `json:"p"`
+	Hash      uint64 `json:"h"`
+	Crashes   int    `json:"c,omitempty"`
+	Condemned bool   `json:"x,omitempty"`
+	Suspected bool   `json:"s,omitempty"`
+	Server    string `json:"v"`
+	Process   uint64 `json:"i,omitempty"`
+	AgeMS     int64  `json:"t"`
+}
+
+// Guards against a VM that can't read what one of the build before found out about bodies that crash
+// servers.
+func TestFindingsOfTheEarlierBuildAreRead(t *testing.T) {
+	g := NewWithT(t)
+	data, err := os.ReadFile("testdata/b54ce8c/report.json")
+	g.Expect(err).NotTo(HaveOccurred())
+	var report peerReport
+	g.Expect(json.Unmarshal(data, &report)).To(Succeed())
+	g.Expect(report.Findings).To(HaveLen(3))
+	handler := relay.New(relay.Options{Log: logr.Discard(), Dispatcher: relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{}))})
+	for _, finding := range report.Findings {
+		handler.ReceiveFinding(finding)
+	}
+	var blocked []uint64
+	for _, finding := range handler.Findings() {
+		if finding.Condemned {
+			blocked = append(blocked, finding.Hash)
+		}
+	}
+	g.Expect(blocked).To(Equal([]uint64{12}))
+}
+
+// Guards against a VM of the build before that refuses a body for what it doesn't understand: an
+// answer, and losses under a part of prompts.
+func TestTheEarlierBuildBlocksNothingForWhatIsNew(t *testing.T) {
+	g := NewWithT(t)
+	data, err := json.Marshal([]relay.Finding{
+		{Account: "a", Path: "app.example/x", Answered: 11, AgeMS: 5},
+		{Path: "llm", Hash: 12, Part: true, Suspected: true, Server: "10.0.0.1:1", Process: 21, Trial: 4, Joint: true, AgeMS: 5},
+		{Account: "a", Path: "app.example/x", Hash: 13, Crashes: 1, Suspected: true, Unreached: true, Server: "10.0.0.1:1", Process: 21, AgeMS: 5},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	var read []earlierFinding
+	g.Expect(json.Unmarshal(data, &read)).To(Succeed())
+	g.Expect(read).To(Equal([]earlierFinding{
+		{Account: "a", Path: "app.example/x", AgeMS: 5}, // without a hash it is ignored
+		{Path: "llm", Hash: 12, Suspected: true, Server: "10.0.0.1:1", Process: 21, AgeMS: 5},
+		{Account: "a", Path: "app.example/x", Hash: 13, Crashes: 1, Suspected: true, Server: "10.0.0.1:1", Process: 21, AgeMS: 5},
+	}))
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -127,10 +127,12 @@
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
 	// contents are what the request has in common with others that may crash servers. trial
-	// identifies the request as the trial of some of them; 0 if it is none.
-	contents []quarantine.Content
-	trial    uint64
-	start    time.Time
+	// identifies the request as the trial of some of them; 0 if it is none. jointTrial is set if it
+	// is the trial of several.
+	contents   []quarantine.Content
+	trial      uint64
+	jointTrial bool
+	start      time.Time
 	// avoid lists the servers that failed the request.
 	avoid []string
 	// ranOn lists the servers that ran the request or may have. Those that broke it off while
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -40,8 +40,12 @@
 	// service, so that the links may have been lost. Both are set for suspected ones only.
 	Begun     bool `json:"b,omitempty"`
 	Unreached bool `json:"u,omitempty"`
-	// Trial identifies the trial that was lost; 0 if the request was none.
+	// Trial identifies the trial that was lost; 0 if the request was none. Joint is set if it was one
+	// of other content, too.
 	Trial uint64 `json:"r,omitempty"`
+	Joint bool   `json:"j,omitempty"`
+	// Part is set for a part of prompts. Path is its service then, and Account is empty.
+	Part bool `json:"q,omitempty"`
 	// Answered is the hash of a body that was answered, so that earlier losses don't count. Hash is
 	// 0 then, for which earlier builds ignore a finding.
 	Answered uint64 `json:"z,omitempty"`
@@ -132,7 +136,7 @@
 		return refused
 	}
 	if trial {
-		x.trial = request
+		x.trial, x.jointTrial = request, s.quarantine.Joint(bootclock.Now(), x.contents)
 	}
 	s.running[x.poison]++
 	return nil
@@ -158,7 +162,7 @@
 func (s *poisonSuspects) retryAllowed(x *exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.table.CrashCount(bootclock.Now(), x.poison) < maxLosses && s.stateLocked(x) == quarantine.Clear
+	return s.table.CrashCount(bootclock.Now(), x.poison) < maxLosses && (x.begun || s.stateLocked(x) == quarantine.Clear)
 }
 
 // recordLoss records that the connection to a server broke while the request was running.
@@ -281,7 +285,7 @@
 	now := bootclock.Now()
 	at := now - time.Duration(f.AgeMS)*time.Millisecond
 	h.mergeQuarantine(now, at, f)
-	if f.Answered != 0 || f.Unreached {
+	if f.Answered != 0 || f.Unreached || f.Part {
 		return
 	}
 	h.suspects.table.MergeFinding(now, poison.Finding{
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -26,9 +27,21 @@
 	findingsDelay = 20 * time.Millisecond
 )
 
-// contentsOf returns what a request has in common with others.
+// answerWitnesses is the number of VMs that contradict another VM's loss under a part of prompts that
+// was answered.
+const answerWitnesses = 3
+
+// contentsOf returns what a request has in common with others: its body, and the shared parts of its
+// prompt.
 func contentsOf(x *exchange) []quarantine.Content {
-	return []quarantine.Content{{Account: x.poison.Account, Path: x.poison.Pipeline, Hash: x.poison.Hash}}
+	contents := []quarantine.Content{{Account: x.poison.Account, Path: x.poison.Pipeline, Hash: x.poison.Hash}}
+	for _, part := range x.call.SharedParts {
+		content := quarantine.Content{Path: x.service.Name, Hash: max(part, 1), Part: true}
+		if !slices.Contains(contents, content) {
+			contents = append(contents, content)
+		}
+	}
+	return contents
 }
 
 func processOf(server backends.Server) quarantine.Process {
@@ -71,6 +84,9 @@
 func (s *poisonSuspects) mayGoOn(x *exchange) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if x.begun {
+		return true
+	}
 	if s.table.Level(bootclock.Now(), x.poison) == poison.Blocked {
 		return false
 	}
@@ -81,11 +97,14 @@
 // quarantineLoss records a server that was lost while it ran a request. unreached says that no VM
 // reached a server of its service.
 func (h *Handler) quarantineLoss(x *exchange, server backends.Server, at time.Duration, unreached bool) {
-	loss := quarantine.Loss{Process: processOf(server), At: at, Trial: x.trial}
+	loss := quarantine.Loss{Process: processOf(server), At: at, Trial: x.trial, Joint: x.jointTrial}
 	begun := x.events >= begunEvents
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	for _, content := range x.contents {
+		if content.Part && (begun || x.trial == 0 && h.suspects.quarantine.AnsweredRecently(at, content)) {
+			continue
+		}
 		finding := lossFinding(content, loss)
 		finding.Begun, finding.Unreached = begun, unreached
 		finding.Crashes = h.suspects.table.CrashCount(at, x.poison) + 1
@@ -127,6 +146,9 @@
 	}
 	countContent("blocked")
 	telemetry.ContentBlocked.Log(h.Log, append(contentFields(content), "lost", describeLosses(losses))...)
+	if content.Part {
+		return
+	}
 	finding := poison.Finding{
 		Body: bodyOf(content), Crashes: len(losses), Blocked: true,
 		Server: loss.Process.Address, Incarnation: loss.Process.ID, At: now,
@@ -135,32 +157,49 @@
 	h.suspects.queueFinding(newTimedFinding(finding))
 }
 
-// bodyOf returns the body that stands for content in findings.
+// bodyOf returns the body of requests with the same body.
 func bodyOf(content quarantine.Content) poison.Body {
 	return poison.Body{Account: content.Account, Pipeline: content.Path, Hash: content.Hash}
 }
 
+// answerFinding returns the finding that content was answered.
+func answerFinding(at time.Duration, content quarantine.Content) timedFinding {
+	return timedFinding{at: at, Finding: Finding{Account: content.Account, Path: content.Path, Part: content.Part, Answered: content.Hash}}
+}
+
 // lossFinding returns the finding on a loss under content.
 func lossFinding(content quarantine.Content, loss quarantine.Loss) timedFinding {
 	return timedFinding{at: loss.At, Finding: Finding{
-		Account: content.Account, Path: content.Path, Hash: content.Hash, Suspected: true,
-		Server: loss.Process.Address, Process: loss.Process.ID, Trial: loss.Trial,
+		Account: content.Account, Path: content.Path, Hash: content.Hash, Part: content.Part, Suspected: true,
+		Server: loss.Process.Address, Process: loss.Process.ID, Trial: loss.Trial, Joint: loss.Joint,
 	}}
 }
 
 // mergeQuarantine applies another VM's finding, made at a time, to what is held back. h.suspects.mu
 // must be held.
 func (h *Handler) mergeQuarantine(now, at time.Duration, f Finding) {
-	content := quarantine.Content{Account: f.Account, Path: f.Path, Hash: cmp.Or(f.Answered, f.Hash)}
+	content := quarantine.Content{Account: f.Account, Path: f.Path, Hash: cmp.Or(f.Answered, f.Hash), Part: f.Part}
 	switch {
 	case content.Hash == 0:
 	case f.Answered != 0:
 		h.clearContent(now, content, at, "another VM's answer")
+	case content.Part && f.Trial == 0 && h.suspects.quarantine.AnsweredRecently(now, content):
+		h.contradictLoss(now, content)
 	case f.Suspected && !f.Begun:
-		h.recordContentLoss(now, content, quarantine.Loss{Process: quarantine.Process{Address: f.Server, ID: f.Process}, At: at, Trial: f.Trial})
+		h.recordContentLoss(now, content, quarantine.Loss{Process: quarantine.Process{Address: f.Server, ID: f.Process}, At: at, Trial: f.Trial, Joint: f.Joint})
 	}
 }
 
+// contradictLoss tells the VMs that a part of prompts was answered, if this is one of the VMs that do.
+// h.suspects.mu must be held.
+func (h *Handler) contradictLoss(now time.Duration, content quarantine.Content) {
+	vms := h.Dispatcher.place()
+	if vms.Count > answerWitnesses && (uint64(vms.Position)+content.Hash)%uint64(vms.Count) >= answerWitnesses {
+		return
+	}
+	h.suspects.queueFinding(answerFinding(now, content))
+}
+
 // recordAnswer clears what a request contains that was answered: a popular request is in flight on
 // every server that crashes.
 func (h *Handler) recordAnswer(x *exchange) {
@@ -187,7 +226,7 @@
 	now := bootclock.Now()
 	for _, content := range x.contents {
 		if h.clearContent(now, content, now, "answer") {
-			h.suspects.queueFinding(timedFinding{at: now, Finding: Finding{Account: content.Account, Path: content.Path, Answered: content.Hash}})
+			h.suspects.queueFinding(answerFinding(now, content))
 			h.reportLoss()
 		}
 	}
@@ -225,7 +264,10 @@
 }
 
 func contentFields(content quarantine.Content) []any {
-	return []any{"account", content.Account, "path", content.Path, "hash", content.Hash, "part", content.Part}
+	if content.Part {
+		return []any{"service", content.Path, "part", formatParts([]uint64{content.Hash})}
+	}
+	return []any{"account", content.Account, "path", content.Path, "hash", content.Hash}
 }
 
 // describeLosses lists the addresses of lost servers, with "trial" after those lost in a trial.
