Take an empty response that ends with its connection for a server that was lost

A response with neither a length nor chunks ends with its connection. One without any content was passed on as a complete, empty 200, and cleared the request's body, though a server that ends as it begins to respond looks just so. A stream that broke off inside an event wasn't counted as a lost server either. Both are lost connections now: repeated where that is allowed, and counted.

--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -69,6 +69,9 @@
 		return nil, result
 	}
 	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedResponse+1))
+	if err == nil && len(body) == 0 && mayHaveBody(x.r.Method, o.response.StatusCode) && endsWithConnection(o.response) {
+		err = errEmptyResponse
+	}
 	if err != nil || len(body) > maxBufferedResponse {
 		if x.ctx.Err() == nil {
 			h.logFailedResponse(x, o, err)
@@ -79,6 +82,11 @@
 	return body, responded
 }
 
+// mayHaveBody reports whether a response to a method, with a status, may have a body.
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // writeResponse forwards a complete response.
 func (h *Handler) writeResponse(x *exchange, o *openAttempt, body []byte) {
 	copyHeaders(x.w.Header(), o.response.Header)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -105,7 +105,7 @@
 		return uncertain, true
 	}
 	h.logFailedResponse(x, o, err)
-	if errors.Is(err, errTruncatedEvent) || errors.Is(err, errBadEvents) {
+	if errors.Is(err, errTruncatedEvent) && !endsWithConnection(o.response) || errors.Is(err, errBadEvents) {
 		x.recordFailure(o.choice)
 	} else {
 		h.recordBroken(x, o, err)
@@ -113,6 +113,12 @@
 	return uncertain, false
 }
 
+// endsWithConnection reports whether a response has neither a length nor chunks, so that the end of
+// its connection is its own. A server that ends while it responds looks the same.
+func endsWithConnection(response *http.Response) bool {
+	return response.ContentLength < 0 && len(response.TransferEncoding) == 0
+}
+
 // handleStreamFailure handles a server's own failure: it is retried once where the request may
 // be repeated, otherwise forwarded.
 func (h *Handler) handleStreamFailure(x *exchange, o *openAttempt, started bool) (outcome, bool) {
@@ -138,6 +144,8 @@
 	errCallerGone = errors.New("caller left")
 	// errTruncatedEvent marks a stream that ended inside an event.
 	errTruncatedEvent = errors.New("stream ended inside an event")
+	// errEmptyResponse marks a response without content that ended with its connection.
+	errEmptyResponse = errors.New("response ended with its connection before it began")
 	// errBadEvents marks a stream whose events can't be forwarded.
 	errBadEvents = errors.New("events are not in order")
 )
@@ -147,6 +155,7 @@
 	flusher := http.NewResponseController(x.w)
 	events := newEventSplitter(x.after)
 	buffer := make([]byte, readBufferBytes)
+	delivered := false
 	for {
 		n, readErr := o.response.Body.Read(buffer)
 		complete, err := events.feed(buffer[:n])
@@ -154,6 +163,7 @@
 			return fmt.Errorf("%w: %w", errBadEvents, err)
 		}
 		if len(complete) > 0 {
+			delivered = true
 			o.recordProgress()
 			start := time.Now()
 			if _, err := x.w.Write(complete); err != nil {
@@ -170,6 +180,8 @@
 		switch {
 		case readErr == io.EOF && events.hasPartial():
 			return errTruncatedEvent
+		case readErr == io.EOF && !delivered && endsWithConnection(o.response):
+			return errEmptyResponse
 		case readErr == io.EOF:
 			return nil
 		case readErr != nil:
