--- a/internal/relay/undelimited_test.go
+++ b/internal/relay/undelimited_test.go
@@ -106,7 +106,7 @@
 }
 
 const (
-	eventOne  = "id: 1\ndata: a\n\n"
+	eventOne = "id: 1\ndata: a\n\n"
 	eventTwo = "id: 2\ndata: b\n\n"
 )
 
