Let requests claim the trial of what is held back, one of all VMs at a time

Trials in time slots of two VMs each came seldom where requests are rare or VMs are many: a request met its slot once in twenty. A sound body that was held back could wait for minutes.

Now the first request of held content claims the trial, waits for a second, in which all VMs hear of the claim, and runs unless a claim goes before its own; the others are refused meanwhile.

--- a/internal/core/quarantine/quarantine.go
+++ b/internal/core/quarantine/quarantine.go
@@ -5,7 +5,8 @@
 // servers of a service end at once, each VM sees what it would see if it had lost its links. Content
 // is therefore held back on unproven losses of several servers. Content that is held back by mistake
 // is released by any of these: an answer to a request with it, a response of the processes that
-// seemed to have ended, or a trial. A trial is a single request that one VM may run.
+// seemed to have ended, or a trial. A trial is a single request: it claims the trial, all VMs hear of
+// the claim, and it runs if no other claim goes before its own.
 package quarantine
 
 import (
@@ -80,8 +81,10 @@
 type suspect struct {
 	content Content
 	losses  map[Process]Loss
-	// trial is the running trial of this VM; 0 for none.
-	trial   uint64
+	// claim is the claim of a trial that goes before all others, and running is set while its trial
+	// runs on this VM.
+	claim   Claim
+	running bool
 	blocked bool
 }
 
@@ -137,6 +140,9 @@
 	}
 	s.losses[loss.Process] = loss
 	t.order.MoveToBack(t.suspects[content])
+	if loss.Trial != 0 && loss.Trial == s.claim.Request {
+		s.endClaim()
+	}
 	if !s.blocked && t.explainsTrials(s) {
 		s.blocked = true
 		t.removeExplained(s)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -12,13 +12,12 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
-	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
 
-// roleTrials is the role whose ranking is the order in which VMs may run trials.
-const roleTrials = "trials"
+// roleWitnesses is the role whose ranking is the order of VMs that witness answers.
+const roleWitnesses = "witnesses"
 
 // Dispatcher holds the routing state of this VM and serialises its routing decisions. It is
 // safe for concurrent use.
@@ -31,8 +30,9 @@
 	table  *routes.Table
 	// configured is closed when the first configuration is applied.
 	configured chan struct{}
-	// vms is this VM's place among the live VMs.
-	vms quarantine.VMs
+	// position is this VM's position among the live VMs, in an order that all agree on, and vms their
+	// number.
+	position, vms int
 	// queued counts the requests waiting for a server's request rate, by service.
 	queued map[string]int
 }
@@ -250,14 +250,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.SetMembers(d.now(), self, vms)
-	d.vms = quarantine.VMs{Position: lease.Position(lease.Rank(roleTrials, "", vms), self), Count: len(vms)}
+	d.position, d.vms = lease.Position(lease.Rank(roleWitnesses, "", vms), self), len(vms)
 }
 
-// place returns this VM's place among the live VMs.
-func (d *Dispatcher) place() quarantine.VMs {
+// place returns this VM's position among the live VMs, and their number.
+func (d *Dispatcher) place() (position, vms int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.vms
+	return d.position, d.vms
 }
 
 // joinRateQueue counts a request as waiting for a server's request rate until leave is called.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -126,13 +126,13 @@
 	body    []byte
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
-	// contents are what the request has in common with others that may crash servers. trial
-	// identifies the request as the trial of some of them; 0 if it is none. jointTrial is set if it
-	// is the trial of several.
-	contents   []quarantine.Content
-	trial      uint64
-	jointTrial bool
-	start      time.Time
+	// contents are what the request has in common with others that may crash servers. claim
+	// identifies the request where it claims a trial of some of them, and trial is the same once it
+	// runs as one. jointTrial is set if it is the trial of several.
+	contents     []quarantine.Content
+	claim, trial uint64
+	jointTrial   bool
+	start        time.Time
 	// avoid lists the servers that failed the request.
 	avoid []string
 	// ranOn lists the servers that ran the request or may have. Those that broke it off while
@@ -179,11 +179,15 @@
 	defer h.bodyBytes.Add(-int64(len(x.body)))
 	x.poison = poisonBody(x)
 	x.contents = contentsOf(x)
-	if refused := h.suspects.begin(x, h.Dispatcher.place()); refused != nil {
+	if refused := h.suspects.begin(x); refused != nil {
 		h.refuse(x, refused)
 		return
 	}
 	defer h.suspects.end(x)
+	if refused := h.admitContents(x); refused != nil {
+		h.refuse(x, refused)
+		return
+	}
 	limit := x.timeLimit()
 	if limit < 0 {
 		h.refuse(x, notRunRefusal(ReasonDeadlineSpent, retryAfterDefault))
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -114,21 +114,30 @@
 // recordUnanswered records a server that left a request without a response until the caller or the
 // time limit ended it, if no VM connects to the server any more.
 func (h *Handler) recordUnanswered(x *exchange, o *openAttempt) {
-	unansweredAt, server := bootclock.Now(), o.choice.First
-	if unansweredAt-o.sentAt < minUnansweredTime || h.Dispatcher.draining(server.ID) {
+	if bootclock.Now()-o.sentAt < minUnansweredTime {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), unansweredCheckTimeout)
 		defer cancel()
-		verdict := h.Servers.Check(ctx, server.Address)
+		verdict := h.Servers.Check(ctx, o.sentTo.First.Address)
 		if verdict == serverconn.Ended || verdict == serverconn.Unknown {
-			h.logLoss(x, o, verdict, h.Servers.Isolated(x.service.Name), false)
-			h.quarantineLoss(x, server, unansweredAt, true)
+			h.recordUnreachable(x, o, verdict)
 		}
 	}()
 }
 
+// recordUnreachable records a server that has a request and doesn't respond, and to which no VM
+// connects any more.
+func (h *Handler) recordUnreachable(x *exchange, o *openAttempt, verdict serverconn.Verdict) {
+	server := o.sentTo.First
+	if h.Dispatcher.draining(server.ID) {
+		return
+	}
+	h.logLoss(x, o, verdict, h.Servers.Isolated(x.service.Name), false)
+	h.quarantineLoss(x, server, bootclock.Now(), true)
+}
+
 // logLoss logs and counts a server that was lost while it ran a request.
 func (h *Handler) logLoss(x *exchange, o *openAttempt, verdict serverconn.Verdict, isolated, counted bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_losses_total{verdict=%q,counted=\"%t\"}", verdict, counted)).Inc()
@@ -254,8 +263,16 @@
 
 // inspect checks the path of an attempt that got no response for long.
 func (p *pathWatch) inspect() {
-	if p.o.sentDirectly() && p.h.pathCheckLimiter.Allow() {
-		p.h.Servers.Check(p.o.ctx, p.o.choice.First.Address)
+	switch {
+	case !p.o.sentDirectly():
+	case p.h.pathCheckLimiter.Allow():
+		verdict := p.h.Servers.Check(p.o.ctx, p.o.choice.First.Address)
+		gone := verdict == serverconn.Ended || verdict == serverconn.Unknown
+		if gone && !p.x.route.Stream && p.o.ctx.Err() == nil {
+			p.h.recordUnreachable(p.x, p.o, verdict)
+		}
+	default:
+		p.timer.Reset(p.h.StallTimeout)
 	}
 	p.endIfPathLost()
 }
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -46,6 +46,9 @@
 	Joint bool   `json:"j,omitempty"`
 	// Part is set for a part of prompts. Path is its service then, and Account is empty.
 	Part bool `json:"q,omitempty"`
+	// Claimed is the hash of a body of which a request, named by Trial, is to run a trial. Hash is 0
+	// then.
+	Claimed uint64 `json:"k,omitempty"`
 	// Answered is the hash of a body that was answered, so that earlier losses don't count. Hash is
 	// 0 then, for which earlier builds ignore a finding.
 	Answered uint64 `json:"z,omitempty"`
@@ -121,23 +124,14 @@
 
 // begin returns why a request may not run, or nil and counts it. A body that alone explains the
 // crashes of several servers may not run. A body that ran on several crashed servers runs one
-// request at a time, so that a response soon clears one that is harmless. What is held back runs as
-// a trial only.
-func (s *poisonSuspects) begin(x *exchange, vms quarantine.VMs) *refusal {
+// request at a time, so that a response soon clears one that is harmless.
+func (s *poisonSuspects) begin(x *exchange) *refusal {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	level := s.table.Level(bootclock.Now(), x.poison)
 	if level == poison.Blocked || level == poison.Isolate && s.running[x.poison] > 0 {
 		return poisonRefusal()
 	}
-	request := max(xxhash.Sum64String(x.call.ID), 1)
-	state, _, trial := s.quarantine.Admit(bootclock.Now(), x.contents, request, vms)
-	if refused := refusalOf(state); refused != nil {
-		return refused
-	}
-	if trial {
-		x.trial, x.jointTrial = request, s.quarantine.Joint(bootclock.Now(), x.contents)
-	}
 	s.running[x.poison]++
 	return nil
 }
@@ -146,9 +140,7 @@
 func (s *poisonSuspects) end(x *exchange) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if x.trial != 0 {
-		s.quarantine.EndTrial(x.contents, x.trial)
-	}
+	s.quarantine.EndTrial(x.contents, x.claim)
 	if s.running[x.poison]--; s.running[x.poison] <= 0 {
 		delete(s.running, x.poison)
 	}
@@ -285,7 +277,7 @@
 	now := bootclock.Now()
 	at := now - time.Duration(f.AgeMS)*time.Millisecond
 	h.mergeQuarantine(now, at, f)
-	if f.Answered != 0 || f.Unreached || f.Part {
+	if f.Answered != 0 || f.Claimed != 0 || f.Unreached || f.Part {
 		return
 	}
 	h.suspects.table.MergeFinding(now, poison.Finding{
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/core/backends"
@@ -20,9 +21,9 @@
 	// begunEvents is the number of events from which on a stream has begun: what it contains
 	// doesn't end servers that begin to respond to it.
 	begunEvents = 8
-	// retryAfterHeld is the Retry-After of a request that is held back: another VM may run the
-	// trial meanwhile.
-	retryAfterHeld = time.Second
+	// retryAfterHeld is the Retry-After of a request that is held back: another request is the trial
+	// meanwhile.
+	retryAfterHeld = 2 * time.Second
 	// findingsDelay collects the findings of losses at the same moment for one report.
 	findingsDelay = 20 * time.Millisecond
 )
@@ -48,16 +49,61 @@
 	return quarantine.Process{Address: server.Address, ID: processID(server.ID)}
 }
 
-// refusalOf returns the refusal that a state requires, or nil.
-func refusalOf(state quarantine.State) *refusal {
-	switch state {
-	case quarantine.Blocked:
+// admitContents returns why a request may not run as for what it contains, or nil. A request that is
+// held back may wait for a trial. The caller must call end in any case.
+func (h *Handler) admitContents(x *exchange) *refusal {
+	x.claim = max(xxhash.Sum64String(x.call.ID), 1)
+	decision, claimed := h.suspects.admit(x)
+	if decision == quarantine.Wait {
+		h.publishClaims(x, claimed)
+		decision = h.awaitTrial(x)
+	}
+	switch decision {
+	case quarantine.Run, quarantine.RunTrial:
+		return nil
+	case quarantine.RefuseBlocked:
 		return poisonRefusal()
-	case quarantine.Held:
-		return heldRefusal()
 	default:
-		return nil
+		return heldRefusal()
+	}
+}
+
+func (s *poisonSuspects) admit(x *exchange) (quarantine.Decision, []quarantine.Content) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quarantine.Admit(bootclock.Now(), x.contents, x.claim)
+}
+
+// publishClaims tells the other VMs that a request is to run a trial.
+func (h *Handler) publishClaims(x *exchange, claimed []quarantine.Content) {
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	now := bootclock.Now()
+	for _, content := range claimed {
+		h.suspects.queueFinding(timedFinding{at: now, Finding: Finding{Account: content.Account, Path: content.Path, Part: content.Part, Claimed: content.Hash, Trial: x.claim}})
+	}
+	h.reportLoss()
+}
+
+// awaitTrial waits until it is decided which request runs the trial, and decides on this one.
+func (h *Handler) awaitTrial(x *exchange) quarantine.Decision {
+	if x.timeLimit() < 2*quarantine.ClaimTime {
+		return quarantine.Refuse
+	}
+	select {
+	case <-time.After(quarantine.ClaimTime):
+	case <-x.r.Context().Done():
+		return quarantine.Refuse
+	}
+	h.suspects.mu.Lock()
+	defer h.suspects.mu.Unlock()
+	now := bootclock.Now()
+	decision := h.suspects.quarantine.Resume(now, x.contents, x.claim)
+	if decision == quarantine.RunTrial {
+		x.trial, x.jointTrial = x.claim, h.suspects.quarantine.Joint(now, x.contents)
+		telemetry.TrialBegun.Log(h.Log, "request", x.call.ID, "service", x.service.Name)
 	}
+	return decision
 }
 
 // heldRefusal is the refusal of a request with content that is held back.
@@ -178,9 +224,11 @@
 // mergeQuarantine applies another VM's finding, made at a time, to what is held back. h.suspects.mu
 // must be held.
 func (h *Handler) mergeQuarantine(now, at time.Duration, f Finding) {
-	content := quarantine.Content{Account: f.Account, Path: f.Path, Hash: cmp.Or(f.Answered, f.Hash), Part: f.Part}
+	content := quarantine.Content{Account: f.Account, Path: f.Path, Hash: cmp.Or(f.Answered, f.Claimed, f.Hash), Part: f.Part}
 	switch {
 	case content.Hash == 0:
+	case f.Claimed != 0:
+		h.suspects.quarantine.RecordClaim(now, content, quarantine.Claim{Request: f.Trial, At: at})
 	case f.Answered != 0:
 		h.clearContent(now, content, at, "another VM's answer")
 	case content.Part && f.Trial == 0 && h.suspects.quarantine.AnsweredRecently(now, content):
@@ -193,8 +241,8 @@
 // contradictLoss tells the VMs that a part of prompts was answered, if this is one of the VMs that do.
 // h.suspects.mu must be held.
 func (h *Handler) contradictLoss(now time.Duration, content quarantine.Content) {
-	vms := h.Dispatcher.place()
-	if vms.Count > answerWitnesses && (uint64(vms.Position)+content.Hash)%uint64(vms.Count) >= answerWitnesses {
+	position, count := h.Dispatcher.place()
+	if count > answerWitnesses && (uint64(position)+content.Hash)%uint64(count) >= answerWitnesses {
 		return
 	}
 	h.suspects.queueFinding(answerFinding(now, content))
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -19,6 +19,7 @@
 	RelayServerLost     = Event{4222, "backend server lost while it ran a request"}
 	ContentHeld         = Event{4223, "content held back: servers were lost while they ran it"}
 	ContentBlocked      = Event{4224, "content blocked: servers were lost in trials of it"}
+	TrialBegun          = Event{4226, "request runs as the trial of what is held back"}
 	ContentCleared      = Event{4225, "content cleared: it doesn't crash servers"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
