--- a/internal/core/backends/limits.go
+++ b/internal/core/backends/limits.go
@@ -75,6 +75,9 @@
 	})
 }
 
+// HasRateLimits reports whether any server is known to set a rate limit.
+func (f *Fleet) HasRateLimits() bool { return !f.rateLimits.Empty() }
+
 // HasRateLimit reports whether a server sets a rate limit.
 func (f *Fleet) HasRateLimit(id string) bool { return f.rateLimits.Report(id).Limited() }
 
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -38,15 +38,15 @@
 type Decision int
 
 const (
-	// Run: nothing that the request contains is held back.
+	// Run means that nothing that the request contains is held back.
 	Run Decision = iota
-	// Wait: the request has claimed a trial; Resume decides after ClaimTime.
+	// Wait means that the request has claimed a trial; Resume decides after ClaimTime.
 	Wait
-	// RunTrial: the request runs as a trial.
+	// RunTrial means that the request runs as a trial.
 	RunTrial
-	// Refuse: the request may not run now.
+	// Refuse means that the request may not run now.
 	Refuse
-	// RefuseBlocked: the request may not run at all.
+	// RefuseBlocked means that the request may not run at all.
 	RefuseBlocked
 )
 
--- a/internal/core/ratelimit/shares.go
+++ b/internal/core/ratelimit/shares.go
@@ -87,6 +87,9 @@
 	return usable / float64(len(senders))
 }
 
+// Empty reports whether no server is known to set a rate.
+func (l *Limits) Empty() bool { return len(l.servers) == 0 }
+
 // SetDemand sets this VM's part of what callers send to the service of each server, from 0 to 1. It
 // is unknown where demand returns false.
 func (l *Limits) SetDemand(now time.Duration, demand func(id string) (float64, bool)) {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -209,7 +209,9 @@
 	} else {
 		d.fleet.SetRemoteUsage(others.Loads, others.VMs)
 	}
-	d.fleet.SetDemand(d.now(), demandParts(d.budget.Histories(d.now()), others.Counts))
+	if d.fleet.HasRateLimits() {
+		d.fleet.SetDemand(d.now(), demandParts(d.budget.Histories(d.now()), others.Counts))
+	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
 }
