--- a/internal/core/reach/intermediaries.go
+++ b/internal/core/reach/intermediaries.go
@@ -1,6 +1,7 @@
 package reach
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -65,12 +66,25 @@
 		near = add(near)
 		far = add(far)
 	}
+	if len(chosen) == 0 {
+		return i.lastResort(local, remote)
+	}
 	if known > 0 && known < enoughProven && len(chosen) > 1 && random(exploreOneIn) == 0 {
 		chosen[0], chosen[1] = chosen[1], chosen[0]
 	}
 	return chosen
 }
 
+// lastResort returns the VM that isn't to be chosen for the shortest time: all may have been slow for
+// a moment.
+func (i *Intermediaries) lastResort(local, remote []string) []string {
+	all := slices.Concat(local, remote)
+	if len(all) == 0 {
+		return nil
+	}
+	return []string{slices.MinFunc(all, func(a, b string) int { return cmp.Compare(i.asideUntil[a], i.asideUntil[b]) })}
+}
+
 // chooseProven returns a random VM of the proven ones, of this data centre if there is one, or none,
 // and the number of those that it was chosen from.
 func (i *Intermediaries) chooseProven(now time.Duration, local, remote []string, random func(n int) int) (chosen []string, known int) {
--- a/internal/core/reach/reach_test.go
+++ b/internal/core/reach/reach_test.go
@@ -163,3 +163,15 @@
 	vms.SetAside(0, "l3", time.Second)
 	g.Expect(vms.Choose(0, local, nil, 4, func(int) int { return 0 })).To(Equal([]string{"l1", "l2", "l4"}))
 }
+
+// Guards against refusing requests because all other VMs were slow for a moment.
+func TestAVMIsTriedThoughAllWereOfNoUse(t *testing.T) {
+	g := NewWithT(t)
+	vms := reach.NewIntermediaries()
+	vms.SetAside(time.Second, "near", 2*time.Second)
+	vms.SetAside(time.Second, "far", time.Second)
+	first := func(int) int { return 0 }
+	g.Expect(vms.Choose(time.Second, []string{"near"}, []string{"far"}, 8, first)).To(Equal([]string{"far"}))
+	g.Expect(vms.Choose(5*time.Second, []string{"near"}, []string{"far"}, 8, first)).To(HaveLen(2))
+	g.Expect(vms.Choose(time.Second, nil, nil, 8, first)).To(BeEmpty())
+}
