Take a response that ends with the VM in between for incomplete

Now the VM must still accept connections. TestAResponseThatEndsWithTheVMInBetweenIsIncomplete failed before.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -121,7 +121,7 @@
 }
 
 // checkEnd returns an error if a response that ended without one may be incomplete. A server that
-// ends closes its connections as well, and then no VM connects to it.
+// ends closes its connections as well, and then no VM connects to it; so does a VM in between.
 func (h *Handler) checkEnd(o *openAttempt, empty bool) error {
 	if !endsWithConnection(o.response) {
 		return nil
@@ -129,6 +129,9 @@
 	if empty {
 		return errEmptyResponse
 	}
+	if tunnel := o.tunnel(); tunnel != nil && !h.Servers.VMResponds(o.ctx, tunnel.VM) {
+		return errEndedWithVM
+	}
 	if verdict := h.Servers.Check(o.ctx, o.sentTo.First.Address); verdict == serverconn.Ended || verdict == serverconn.Unknown {
 		return errEndedWithServer
 	}
@@ -164,6 +167,8 @@
 	errEmptyResponse = errors.New("response ended with its connection before it began")
 	// errEndedWithServer marks a response that ended with its connection when its server ended.
 	errEndedWithServer = errors.New("response ended with its connection, and the server has ended")
+	// errEndedWithVM marks one that ended when the VM in between did.
+	errEndedWithVM = errors.New("response ended with its connection, and the VM in between has ended")
 	// errBadEvents marks a stream whose events can't be forwarded.
 	errBadEvents = errors.New("events are not in order")
 )
--- a/internal/relay/undelimited_test.go
+++ b/internal/relay/undelimited_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -20,6 +22,9 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/relay"
+	"oleandershunt.example/oleandershunt/internal/serverconn"
+	"oleandershunt.example/oleandershunt/internal/tunnel"
+	"oleandershunt.example/oleandershunt/internal/wire"
 	"oleandershunt.example/oleandershunt/platform"
 )
 
@@ -39,6 +44,11 @@
 }
 
 func newUndelimitedRig(t *testing.T, bodies ...string) *undelimitedRig {
+	return newUndelimitedRigOver(t, nil, bodies...)
+}
+
+// newUndelimitedRigOver is a rig whose VM connects to servers through another VM, unless that is nil.
+func newUndelimitedRigOver(t *testing.T, between *otherVM, bodies ...string) *undelimitedRig {
 	r := &undelimitedRig{WithT: NewWithT(t), bodies: bodies}
 	d := relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, MinVMs: 1}))
 	shares := []routes.Share{{Service: "app", Weight: 1}}
@@ -56,13 +66,40 @@
 		list = append(list, backends.Server{ID: fmt.Sprint("s", i), Service: "app", Address: listener.Addr().String(), DataCentre: "a", Slots: 4})
 	}
 	d.WithFleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Replace(now, list, 1) })
-	r.vm = relay.New(relay.Options{Log: logr.Discard(), Wire: platform.Requests{}, Dispatcher: d, DataCentre: "a", Proven: func() bool { return true }})
+	options := relay.Options{Log: logr.Discard(), Wire: platform.Requests{}, Dispatcher: d, DataCentre: "a", Proven: func() bool { return true }}
+	if between != nil {
+		refused := func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED }
+		options.Servers = serverconn.New(serverconn.Options{Log: logr.Discard(), Dial: refused, Now: bootclock.Now, Service: d.ServiceAt})
+		options.Servers.SetTunnels(between)
+	}
+	r.vm = relay.New(options)
 	server := httptest.NewServer(r.vm)
 	t.Cleanup(server.Close)
 	r.url = server.URL
 	return r
 }
 
+// otherVM is a VM through which servers are reached. It may have ended when a response has.
+type otherVM struct{ responds bool }
+
+// HasVMs implements serverconn.Tunnels.
+func (*otherVM) HasVMs() bool { return true }
+
+// SetAside implements serverconn.Tunnels.
+func (*otherVM) SetAside(string, string) {}
+
+// Dial implements serverconn.Tunnels.
+func (*otherVM) Dial(ctx context.Context, address string) (*tunnel.Conn, error) {
+	conn, err := wire.Dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return tunnel.NewConn(conn, "vm-2"), nil
+}
+
+// Responds reports whether the VM lives.
+func (v *otherVM) Responds(context.Context, string) bool { return v.responds }
+
 func (r *undelimitedRig) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -181,3 +218,18 @@
 		r.Expect(r.requests).To(Equal(2), path)
 	}
 }
+
+// Guards against passing on the beginning of a response as the whole one because the VM in between
+// ended.
+func TestAResponseThatEndsWithTheVMInBetweenIsIncomplete(t *testing.T) {
+	for path, whole := range map[string]string{"/plain/x": "whole", "/stream/x": eventOne + eventTwo} {
+		r := newUndelimitedRigOver(t, &otherVM{responds: true}, whole)
+		status, body := r.call(path)
+		r.Expect(status).To(Equal(http.StatusOK))
+		r.Expect(body).To(Equal(whole))
+		r = newUndelimitedRigOver(t, &otherVM{}, whole)
+		if status, body = r.call(path); status == http.StatusOK {
+			r.Expect(body).To(Equal("cut"), path)
+		}
+	}
+}
--- a/internal/serverconn/connector.go
+++ b/internal/serverconn/connector.go
@@ -327,6 +327,14 @@
 	}
 }
 
+// VMResponds reports whether another VM accepts connections.
+func (c *Connector) VMResponds(ctx context.Context, vm string) bool {
+	tunnels, ok := c.otherVMs().(interface {
+		Responds(ctx context.Context, vm string) bool
+	})
+	return ok && tunnels.Responds(ctx, vm)
+}
+
 // Isolated reports whether no server of a service is reached, neither directly nor through another
 // VM.
 func (c *Connector) Isolated(service string) bool { return c.State(service) == reach.Isolated }
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -129,6 +129,18 @@
 	return chosen
 }
 
+// Responds reports whether another VM accepts connections.
+func (d *Dialer) Responds(ctx context.Context, vm string) bool {
+	ctx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err := d.options.DialVM(ctx, vm)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
 // SetAside keeps new tunnels to a server's service off a VM for a time, since an open one fell
 // silent.
 func (d *Dialer) SetAside(vm, address string) {
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -265,3 +265,16 @@
 	r.Expect(conn.Close()).To(Succeed())
 	r.Expect(carrier.server.Drain(t.Context())).To(BeZero())
 }
+
+// Guards against taking a VM in between that has ended for one that lives.
+func TestAVMThatEndedDoesNotRespond(t *testing.T) {
+	r := newRig(t)
+	r.addVM("lives", connectDirectly)
+	r.Expect(r.dialer.Responds(t.Context(), "lives")).To(BeTrue())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.Expect(err).NotTo(HaveOccurred())
+	r.addAddress("ended", listener.Addr().String())
+	r.Expect(listener.Close()).To(Succeed())
+	r.Expect(r.dialer.Responds(t.Context(), "ended")).To(BeFalse())
+	r.Expect(r.dialer.Responds(t.Context(), "unknown")).To(BeFalse())
+}
