--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -96,10 +96,13 @@
 func (p *proxy) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	// A connection that copy closes, since its other side was, must be reset as well.
 	for conn := range p.conns {
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0) // a connection that is gone needs no reset
 		}
+	}
+	for conn := range p.conns {
 		_ = conn.Close()
 	}
 	clear(p.conns)
