--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -61,8 +61,8 @@
 	// OnUnresponsive, if set, is called with the ID of a server that another server waits for without a
 	// response.
 	OnUnresponsive func(id string)
-	// OnLoss, if set, is called at once after findings on lost servers for the other VMs.
-	OnLoss func()
+	// OnFindings, if set, is called when there are findings that the other VMs need at once.
+	OnFindings func()
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
 	// Servers connects to backend servers. Nil means directly only, without probes of lost paths.
