--- a/internal/core/ratelimit/fleet_test.go
+++ b/internal/core/ratelimit/fleet_test.go
@@ -293,7 +293,7 @@
 	return count
 }
 
-// exchangeDemand gives each VM its part of all requests, with what it knows of the others.
+// exchangeDemand tells each VM its part of all requests, as far as it knows of the others'.
 func (f *fleet) exchangeDemand(arrivals [][]time.Duration) {
 	count := func(i int, newest time.Duration) (n int) {
 		for _, at := range arrivals[i] {
--- a/internal/edge/crashingparts_test.go
+++ b/internal/edge/crashingparts_test.go
@@ -33,8 +33,8 @@
 	}
 }
 
-// prompt is a part list of four, with one of some first parts and the request's own last part.
-// crashing puts crashingPart before, between or after the shared ones.
+// prompt returns the header of a prompt of four parts, of which the last one is the request's own. If
+// crashing is set, crashingPart takes the place of one of the others.
 func prompt(random *rand.Rand, id string, crashing bool) string {
 	parts := []string{fmt.Sprintf("a%d:40", random.IntN(3)), fmt.Sprintf("b%d:100", random.IntN(5)), fmt.Sprintf("c%d:100", random.IntN(7))}
 	if crashing {
@@ -43,7 +43,7 @@
 	return strings.Join(append(parts, fmt.Sprintf("%x:600", id)), ",")
 }
 
-// stream sends a request with a prompt and reports whether it was served completely.
+// streamPrompt sends a request with a prompt and reports whether it was served completely.
 func (r *crashRig) streamPrompt(vm *rig, id, prompt string) bool {
 	request, err := http.NewRequest(http.MethodPost, "http://"+vm.settings.CallerAddress+"/stream/"+id, strings.NewReader(id))
 	r.Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -26,7 +26,8 @@
 	maxPendingFindings = 256
 )
 
-// Finding is the evidence of this VM against a request body, as sent to the other VMs.
+// Finding is the evidence of this VM against a request body or a part of prompts, as sent to the
+// other VMs.
 type Finding struct {
 	Account   string `json:"a,omitempty"`
 	Path      string `json:"p"`
