--- a/internal/relay/poison_test.go
+++ b/internal/relay/poison_test.go
@@ -105,6 +105,13 @@
 	return r.down[i]
 }
 
+// crashCount returns the number of crashes.
+func (r *crashRig) crashCount() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
 // call sends a request and returns the response's status and body.
 func (r *crashRig) call(vm, id int, body string) (status int, responseBody string) {
 	request, err := http.NewRequest(http.MethodPost, r.urls[vm]+"/path", strings.NewReader(body))
@@ -165,3 +172,29 @@
 		return status
 	}, "2s", "100ms").Should(Equal(http.StatusOK))
 }
+
+// Guards against a VM that starts and sends on what the others hold back.
+func TestAStartedVMLearnsWhatIsHeldBack(t *testing.T) {
+	r := newCrashRig(t, 6)
+	for id := range 3 {
+		r.call(0, id, "poison")
+	}
+	crashes := r.crashCount()
+	r.Expect(crashes).To(BeNumerically(">=", 3))
+	for _, finding := range r.vms[0].Findings() {
+		r.vms[1].ReceiveFinding(finding)
+	}
+	request, err := http.NewRequest(http.MethodPost, r.urls[1]+"/path", strings.NewReader("poison"))
+	r.Expect(err).NotTo(HaveOccurred())
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", "r-started")
+	request.Header.Set("X-Deadline-Ms", "1500") // too short for a trial
+	response, err := http.DefaultClient.Do(request)
+	r.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	r.Expect(err).NotTo(HaveOccurred())
+	r.Expect(string(body)).To(ContainSubstring("held_back"))
+	r.Expect(string(body)).To(ContainSubstring("not_run"))
+	r.Expect(r.crashCount()).To(Equal(crashes))
+}
