Limit streams by observed latency, and check memory and slots with what other VMs add

Cause: servers' memory and slots were the only bound on streams, and the loads of other VMs are up to 250 ms old, so that VMs together filled servers.

The checks of memory and slots count what other VMs are expected to have added since their last report.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -111,6 +111,8 @@
 	// remoteVMs is the number of VMs included in remoteUsage. liveVMs is the number of live VMs,
 	// this one included, whether or not remoteUsage includes them.
 	remoteVMs, liveVMs int
+	// demand is this VM's part of what callers send to each service, where it is known.
+	demand map[string]float64
 	// requestCount counts this VM's requests.
 	requestCount uint64
 	// unreachableUntil is until when a data centre counts as unreachable.
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -190,10 +190,9 @@
 	if s.isFull(now) {
 		return false
 	}
-	used := f.memoryUsed(s)
 	memory := (request.Prompt + request.Answer) * float64(held.Layers.Len())
 	// An idle server has capacity for a request of any size: it rejects one that is too large itself.
-	return used == 0 || used+memory <= overcommitFactor*s.requestCapacity(engine, held)
+	return f.memoryUsed(s) == 0 || f.expectedMemory(s)+memory <= overcommitFactor*s.requestCapacity(engine, held)
 }
 
 // versions returns the versions of the weights, newest first.
@@ -236,7 +235,7 @@
 				HopCost:    hopCost * request.Answer,
 				FirstCost:  f.firstCost(s, request, slowest),
 
-				NotFirst: !f.withinRateLimit(now, s.ID, request),
+				NotFirst: !f.withinRateLimit(now, s.ID, request) || !f.hasSlot(s, request),
 			})
 		}
 	}
--- a/internal/core/backends/limits.go
+++ b/internal/core/backends/limits.go
@@ -65,6 +65,7 @@
 // SetDemand sets this VM's part of what callers send to each service, from 0 to 1. Services that are
 // absent have an unknown one.
 func (f *Fleet) SetDemand(now time.Duration, demand map[string]float64) {
+	f.demand = demand
 	f.rateLimits.SetDemand(now, func(id string) (float64, bool) {
 		s, ok := f.servers[id]
 		if !ok {
--- a/internal/core/backends/usage.go
+++ b/internal/core/backends/usage.go
@@ -55,14 +55,34 @@
 }
 
 // expectedMemory is memoryUsed plus an estimate of what the other VMs have added since they last
-// published their loads: each is assumed to have added as much as this VM.
+// published their loads: this VM's own additions times the others' demand for the service as a multiple
+// of its own.
 //
 // Hundreds of requests may arrive at about the same time, after a power failure or in a burst.
 // Without the estimate each VM would find the same path the cheapest and see only its own requests,
 // and they would queue there for a second while other paths are idle. VMs that have all just
-// started are not included in remoteUsage yet.
+// started are not included in remoteUsage yet. A VM that has added nothing expects nothing, so that
+// the first request of each of many VMs is admitted.
 func (f *Fleet) expectedMemory(s *serverState) float64 {
-	return f.memoryUsed(s) + max(s.localUsage.Memory-s.publishedUsage.Memory, 0)*float64(max(f.remoteVMs, f.liveVMs-1))
+	return f.memoryUsed(s) + max(s.localUsage.Memory-s.publishedUsage.Memory, 0)*f.othersDemand(s.Service)
+}
+
+// othersDemand returns the other VMs' demand for a service as a multiple of this VM's. Without data on
+// the demand, or if this VM had none lately, it is the number of the other VMs.
+func (f *Fleet) othersDemand(service string) float64 {
+	if part, known := f.demand[service]; known && part > 0 {
+		return (1 - part) / part
+	}
+	return float64(max(f.remoteVMs, f.liveVMs-1))
+}
+
+// DemandPart returns this VM's part of the demand for a service, from 0 to 1: an equal one of all VMs if
+// it is unknown.
+func (f *Fleet) DemandPart(service string) float64 {
+	if part, known := f.demand[service]; known {
+		return part
+	}
+	return 1 / float64(max(f.remoteVMs, f.liveVMs-1)+1)
 }
 
 // Load is what a running request uses on servers.
--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -1,6 +1,9 @@
 package routes
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Engine describes a service whose servers each hold some layers of a model.
 type Engine struct {
@@ -17,6 +20,10 @@
 	// ReadPerSecond is the number of prompt tokens that all layers process in a second on a card
 	// with a Read of 1.
 	ReadPerSecond float64
+	// Chunk is the maximum number of prompt tokens that a server reads in a step. 0 means any number.
+	Chunk float64
+	// Stride is the number of steps of a pass, at the end of which a server begins with new requests.
+	Stride float64
 	// TokenBytes is the memory of one token of a request over all layers, in bytes.
 	TokenBytes float64
 	// TypicalPrompt and TypicalAnswer are the typical lengths in tokens.
@@ -88,3 +95,40 @@
 
 // TypicalTokens returns the typical length of a request, prompt and answer, in tokens.
 func (e *Engine) TypicalTokens() float64 { return float64(max(e.TypicalPrompt+e.TypicalAnswer, 1)) }
+
+// readShare is the part of their time in which servers are expected to read prompts while they also
+// generate tokens.
+const readShare = 0.5
+
+// ReadRate returns the number of prompt tokens that a server with so many layers reads in a second while
+// it also generates tokens. It is 0 if unknown.
+func (e *Engine) ReadRate(card Card, layers int) float64 {
+	if layers <= 0 || e.ReadPerSecond <= 0 {
+		return 0
+	}
+	part := float64(layers) / float64(e.Layers)
+	idle := e.ReadPerSecond / max(card.Read, minFactor) / part
+	rate := readShare * idle
+	if e.Chunk > 0 {
+		step := e.Step.Seconds() * max(card.Pace, minFactor) * part
+		rate = min(rate, e.Chunk/(step+e.Chunk/idle))
+	}
+	return rate
+}
+
+// FirstEvent returns the time to the first event of a typical prompt on idle servers with a kind of card:
+// it is read a chunk in each step, after the pass in which it arrived.
+func (e *Engine) FirstEvent(card Card) time.Duration {
+	if e.ReadPerSecond <= 0 {
+		return 0
+	}
+	steps := e.Stride + 1
+	if e.Chunk > 0 {
+		steps += math.Ceil(float64(e.TypicalPrompt) / e.Chunk)
+	}
+	read := float64(e.TypicalPrompt) / e.ReadPerSecond * max(card.Read, minFactor)
+	return time.Duration(steps*float64(e.Step)*max(card.Pace, minFactor) + read*float64(time.Second))
+}
+
+// minFactor bounds a card's factors: without a factor a card doesn't count as infinitely fast.
+const minFactor = 0.1
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -45,7 +45,10 @@
 	service routes.Service
 	request backends.Request
 	limits  waitLimits
-	start   time.Duration
+	// target and gapTarget are the targets of a stream that count for the limits of its service; 0 for
+	// none.
+	target, gapTarget time.Duration
+	start             time.Duration
 	// err is why no server could be chosen at the last try.
 	err error
 	// admitted receives the result, once.
@@ -56,6 +59,7 @@
 type admission struct {
 	choice backends.Choice
 	load   backends.Load
+	pace   *attemptPace
 	err    error
 }
 
@@ -69,6 +73,7 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	w.start = now
+	d.limitDue(now, w)
 	q := d.admissionQueue(w.service.Name)
 	ahead = q.queue.Ahead(now, w.item)
 	w.err = q.err // others are to start first
@@ -97,12 +102,17 @@
 	}
 	if result := <-w.admitted; result.err == nil {
 		d.fleet.RemoveLoad(result.load)
+		result.pace.endLocked(d.now())
 		d.wakeLocked()
 	}
 }
 
-// tryStart chooses a server for a request and adds its load.
+// tryStart chooses a server for a request and adds its load, if the limits of its service allow that.
 func (d *Dispatcher) tryStart(now time.Duration, w *waiter) admission {
+	limiter := d.limiter(now, w.service)
+	if err := d.checkLimits(now, limiter, w); err != nil {
+		return admission{err: err}
+	}
 	choice, err := d.pickLocked(w.service, w.request)
 	if err != nil {
 		return admission{err: err}
@@ -111,7 +121,7 @@
 	d.fleet.AddLoad(load)
 	d.fleet.CountSent(now, choice)
 	d.admissionQueue(w.service.Name).queue.Started(w.item)
-	return admission{choice: choice, load: load}
+	return admission{choice: choice, load: load, pace: d.sendStream(now, limiter, w)}
 }
 
 func (d *Dispatcher) admissionQueue(service string) *admissionQueue {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -68,6 +68,8 @@
 	watchdog *watchdog
 	// sent is the request as it was last sent.
 	sent atomic.Pointer[wire.Sent]
+	// pace reports the attempt's progress to the limiter of its service. Nil without one.
+	pace *attemptPace
 }
 
 // recordProgress reports to the watchdog that the attempt delivered events.
@@ -89,7 +91,7 @@
 	if o.response != nil {
 		_ = o.response.Body.Close() // the connection isn't used again unless the body was read
 	}
-	d.releaseLoad(o.load)
+	d.release(o)
 }
 
 // send makes the attempt and reads the head of its response.
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -63,7 +63,13 @@
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
 	start := time.Now()
 	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits}
+	if x.route.Stream {
+		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
+	}
 	result, ahead, admitted := h.Dispatcher.enter(w)
+	if limit := (*LimitError)(nil); errors.As(result.err, &limit) {
+		h.logLimit(x, limit)
+	}
 	if !admitted {
 		result = h.awaitAdmission(x, w, ahead, result.err)
 	}
@@ -74,7 +80,7 @@
 		return nil, result.err
 	}
 	ctx, cancel := context.WithCancelCause(x.ctx)
-	return &openAttempt{choice: result.choice, sentTo: result.choice, load: result.load, ctx: ctx, cancel: cancel}, nil
+	return &openAttempt{choice: result.choice, sentTo: result.choice, load: result.load, pace: result.pace, ctx: ctx, cancel: cancel}, nil
 }
 
 // queueItem returns the place of a request's next attempt in its queue.
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -36,12 +36,14 @@
 	// queues are the requests that wait for capacity, by service. requestID is the last ID in them.
 	queues    map[string]*admissionQueue
 	requestID uint64
+	// limiters are the limits on streams by service.
+	limiters map[string]*serviceLimiter
 }
 
 // NewDispatcher returns a dispatcher without configuration or servers. now is the time since
 // the start of the VM, including time suspended.
 func NewDispatcher(now func() time.Duration, retryBudget *budget.Budget) *Dispatcher {
-	return &Dispatcher{now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue)}
+	return &Dispatcher{now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue), limiters: make(map[string]*serviceLimiter)}
 }
 
 // SetTable applies a configuration and returns whether it did. A table whose version isn't
@@ -58,6 +60,7 @@
 	}
 	d.table = table
 	d.fleet.SetServices(table.ServiceNames())
+	d.forgetLimiters(table)
 	return true
 }
 
@@ -134,10 +137,12 @@
 	d.wakeLocked()
 }
 
-func (d *Dispatcher) releaseLoad(load backends.Load) {
+// release records that an attempt has ended.
+func (d *Dispatcher) release(o *openAttempt) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.fleet.RemoveLoad(load)
+	d.fleet.RemoveLoad(o.load)
+	o.pace.endLocked(d.now())
 	d.wakeLocked()
 }
 
@@ -199,7 +204,7 @@
 	} else {
 		d.fleet.SetRemoteUsage(others.Loads, others.VMs)
 	}
-	if d.fleet.HasRateLimits() {
+	if d.fleet.HasRateLimits() || d.table != nil && len(d.table.ModelServices()) > 0 {
 		d.fleet.SetDemand(d.now(), demandParts(d.budget.Histories(d.now()), others.Counts))
 	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -191,6 +191,7 @@
 		if len(complete) > 0 {
 			o.recordProgress()
 			start := time.Now()
+			o.pace.recordRead(start)
 			if _, err := x.w.Write(complete); err != nil {
 				return fmt.Errorf("%w: %w", errCallerGone, err)
 			}
@@ -198,6 +199,7 @@
 				return fmt.Errorf("%w: %w", errCallerGone, err)
 			}
 			x.timing.recordDelivery(x.start, time.Since(start))
+			o.pace.recordDelivered(x.timing.lastEvent)
 			x.events += events.returned
 			x.after = events.last
 			h.recordBegun(x)
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -27,6 +27,7 @@
 	PauseAsked          = Event{4217, "backend server wants no requests for a time"}
 	PauseUnread         = Event{4218, "pause that a backend server asks for can't be read"}
 	RelayWithheld       = Event{4220, "attempt withheld: its backend server wants no more requests"}
+	StreamsLimited      = Event{4227, "streams of a service are limited"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
