Share services that are short of capacity fairly between accounts

Cause: client accounts played no part in any decision, and nothing knew what they ask of all VMs.

Change: internal/core/demand counts the demand by service, priority and account and sums it over all VMs in the tallies; internal/core/share computes max-min fair shares from it. Requests above an account's share start after the others'. Weights and reserved fractions come from the configuration.

--- a/internal/core/backends/slots_test.go
+++ b/internal/core/backends/slots_test.go
@@ -148,3 +148,35 @@
 	t.Logf("late %.2f", q.lateFraction(2, 16))
 	g.Expect(q.lateFraction(2, 16)).To(BeNumerically("<", 0.02))
 }
+
+// Guards against paths that start at a server without a free slot: what queues there is given up by its
+// caller, or finds no memory on the rest of its path. Many VMs fill the slots at once, each of them with
+// loads of the others that are a moment old.
+func TestPathsDontStartAtServersWithoutSlots(t *testing.T) {
+	g := NewWithT(t)
+	const vms, slots = 16, 64
+	started := 0
+	for range vms {
+		f := backends.New()
+		for part := range 4 {
+			s := server(fmt.Sprint("s", part), "a", "fast", part*20, part*20+20)
+			s.Slots = slots
+			f.Put(0, s)
+		}
+		f.SetLiveVMs(vms)
+		f.SetRemoteUsage(nil, vms-1)
+		f.PublishUsage()
+		small := request() // memory is not the limit
+		small.Prompt, small.Answer = 1, 1
+		for {
+			choice, err := f.Path(0, service(), small)
+			if err != nil {
+				g.Expect(err).To(MatchError(backends.ErrFull))
+				break
+			}
+			f.AddLoad(choice.Load(1))
+			started++
+		}
+	}
+	g.Expect(started).To(BeNumerically("~", slots, vms), "at most one more for each VM")
+}
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -249,6 +249,16 @@
 	return expired
 }
 
+// SetOverShare changes whether a waiting request's account exceeds its fair share. The request keeps its
+// place among those of its account.
+func (q *Queue) SetOverShare(id uint64, over bool) {
+	if e, ok := q.entries[id]; ok && e.OverShare != over {
+		q.detach(e)
+		e.OverShare = over
+		q.insert(e, e.level.late)
+	}
+}
+
 // SetExpiry changes the latest start of a waiting request.
 func (q *Queue) SetExpiry(id uint64, expiry time.Duration) {
 	if e, ok := q.entries[id]; ok {
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -9,6 +9,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"oleandershunt.example/oleandershunt/internal/core/share"
 )
 
 // RepeatPolicy says whether a request may run more than once.
@@ -69,6 +71,8 @@
 	// Priority overrides the route's if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Entitlement is its part of services that are short of capacity.
+	Entitlement share.Entitlement
 }
 
 // Limits are limits for client requests. 0 means unlimited.
@@ -129,6 +133,17 @@
 	return account, ok
 }
 
+// Entitlements returns the entitlements of the accounts that have one of their own, by name.
+func (t *Table) Entitlements() map[string]share.Entitlement {
+	entitlements := make(map[string]share.Entitlement)
+	for _, account := range t.accounts {
+		if account.Entitlement != (share.Entitlement{}) {
+			entitlements[account.Name] = account.Entitlement
+		}
+	}
+	return entitlements
+}
+
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
 	service, ok := t.services[name]
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -223,6 +223,7 @@
 	sum := Tally{
 		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: h.LocalCounts(now).Histories,
 		Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report),
+		Demand: h.local.demand.Report(),
 	}
 	for _, r := range h.vms {
 		for id, span := range r.tally.Full {
@@ -259,7 +260,8 @@
 		VMs: h.all.vms - own.VMs, Counts: h.countsExcept(now, vm), CountsUnknown: !h.KnowsCounts(now),
 		Full: h.full.except(reporter{vm, true}.key()),
 		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
-		Rates: h.rates.newest(),
+		Rates:   h.rates.newest(),
+		Overall: h.overall(),
 	}
 	return sum
 }
--- a/internal/core/tally/sums.go
+++ b/internal/core/tally/sums.go
@@ -5,6 +5,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
@@ -13,16 +14,18 @@
 	vms    int
 	loads  map[string]backends.Usage
 	counts map[string]*timeline
+	demand *demand.Sums
 }
 
 func newSums() sums {
-	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]*timeline)}
+	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]*timeline), demand: demand.NewSums()}
 }
 
 // replace takes a report off the sums and adds another one, except for the counts. It returns the
 // servers whose sum changed.
 func (s *sums) replace(before, after Tally) (changed []string) {
 	s.vms += after.VMs - before.VMs
+	s.demand.Replace(before.Demand, after.Demand)
 	for id, load := range before.Loads {
 		if next := after.Loads[id]; next != load {
 			s.addLoad(id, subtract(next, load))
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -15,6 +15,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
@@ -44,6 +45,11 @@
 	Full map[string]time.Duration
 	// Rates are the request rates that servers set, the newest report for each.
 	Rates map[string]ratelimit.Report
+	// Demand is what callers asked of these VMs. It is empty in a hub's answer to a VM.
+	Demand demand.Report
+	// Overall is the demand that reached all VMs, that of the VM that the answer is for included. Only
+	// a hub's answer to a VM has it; nil from hubs of older builds and without requests.
+	Overall *demand.Overall
 }
 
 // quantize rounds loads down to whole units, as messages do, so that sums are exact. Servers whose
--- a/internal/edge/tallymessages.go
+++ b/internal/edge/tallymessages.go
@@ -5,6 +5,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	"oleandershunt.example/oleandershunt/internal/peer"
@@ -31,6 +32,7 @@
 	for service, total := range budget.Totals(from.Counts) {
 		to.Counts[service] = &tallyv1.Count{Requests: uint32(total.Requests), Repeats: uint32(total.Retries)}
 	}
+	to.Demand, to.HeavyHitters = encodeDemand(from.Demand.Counts), encodeSummaries(from.Demand.Accounts)
 	return to
 }
 
@@ -60,6 +62,7 @@
 		Counts: decodeCounts(from.GetCounts()),
 		Full:   make(map[string]time.Duration),
 		Rates:  decodeRates(from, at),
+		Demand: demand.Report{Counts: decodeDemand(from.GetDemand()), Accounts: decodeSummaries(from.GetHeavyHitters())},
 	}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -10,6 +10,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/queue"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/core/share"
 )
 
 // Processing of the admission queues.
@@ -49,6 +50,10 @@
 	// none.
 	target, gapTarget time.Duration
 	start             time.Duration
+	// first is set for the first attempt of a request.
+	first bool
+	// shareMark is the mark of the request, of which work is given back if it doesn't start.
+	shareMark share.Mark
 	// err is why no server could be chosen at the last try.
 	err error
 	// admitted receives the result, once.
@@ -87,6 +92,7 @@
 	w.item.ID, w.item.Expiry, w.admitted = d.requestID, w.expiry(), make(chan admission, 1)
 	q.queue.Push(now, w.item)
 	q.waiting[w.item.ID] = w
+	d.demand.counter.Queued(w.demandKey(), w.item.Work)
 	d.schedule(q, processInterval)
 	return admission{err: w.err}, ahead, false
 }
@@ -98,6 +104,7 @@
 	q := d.admissionQueue(w.service.Name)
 	if q.queue.Remove(w.item.ID) {
 		delete(q.waiting, w.item.ID)
+		d.demand.counter.Dequeued(w.demandKey(), w.item.Work)
 		return
 	}
 	if result := <-w.admitted; result.err == nil {
@@ -121,6 +128,7 @@
 	d.fleet.AddLoad(load)
 	d.fleet.CountSent(now, choice)
 	d.admissionQueue(w.service.Name).queue.Started(w.item)
+	d.countStarted(now, w)
 	return admission{choice: choice, load: load, pace: d.sendStream(now, limiter, w)}
 }
 
@@ -194,6 +202,7 @@
 // admit ends the wait of a request that was removed from its queue.
 func (d *Dispatcher) admit(q *admissionQueue, w *waiter, result admission) {
 	delete(q.waiting, w.item.ID)
+	d.demand.counter.Dequeued(w.demandKey(), w.item.Work)
 	w.admitted <- result
 	outcome := "started"
 	if result.err != nil {
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -7,6 +7,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/queue"
+	"oleandershunt.example/oleandershunt/internal/core/share"
 )
 
 // Limits on waiting for a server.
@@ -62,7 +63,7 @@
 // would use up the shared retry budget and take time from the streams that run there.
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
 	start := time.Now()
-	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits}
+	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: x.sends == 0, shareMark: x.shareMark}
 	if x.route.Stream {
 		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
 	}
@@ -76,6 +77,7 @@
 	x.timing.capacityWait += time.Since(start)
 	x.setDeferral(result.err, ahead)
 	if result.err != nil {
+		h.Dispatcher.countUnstarted(w, result.err)
 		x.detail = h.Dispatcher.describe(w)
 		return nil, result.err
 	}
@@ -85,10 +87,7 @@
 
 // queueItem returns the place of a request's next attempt in its queue.
 func queueItem(x *exchange, now time.Duration) queue.Item {
-	item := queue.Item{Resume: x.events > 0, Priority: x.priority(), Account: x.account.Name, Work: 1}
-	if x.service.Engine != nil {
-		item.Work = float64(x.call.PromptTokens)/promptWorkDivisor + answerTokens(x)
-	}
+	item := queue.Item{Resume: x.events > 0, Priority: x.priority(), Account: x.account.Name, Work: requestWork(x), OverShare: x.shareMark == share.Over}
 	if x.route.TargetLatency > 0 {
 		item.Due = now - time.Since(x.start) + time.Duration(startShare*float64(x.route.TargetLatency))
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -38,12 +38,16 @@
 	requestID uint64
 	// limiters are the limits on streams by service.
 	limiters map[string]*serviceLimiter
+	demand   demandState
 }
 
 // NewDispatcher returns a dispatcher without configuration or servers. now is the time since
 // the start of the VM, including time suspended.
 func NewDispatcher(now func() time.Duration, retryBudget *budget.Budget) *Dispatcher {
-	return &Dispatcher{now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue), limiters: make(map[string]*serviceLimiter)}
+	return &Dispatcher{
+		now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue),
+		limiters: make(map[string]*serviceLimiter), demand: newDemandState(),
+	}
 }
 
 // SetTable applies a configuration and returns whether it did. A table whose version isn't
@@ -61,6 +65,7 @@
 	d.table = table
 	d.fleet.SetServices(table.ServiceNames())
 	d.forgetLimiters(table)
+	d.demand.shares.SetEntitlements(table.Entitlements())
 	return true
 }
 
@@ -146,13 +151,6 @@
 	d.wakeLocked()
 }
 
-// countRequest counts a request for the retry budget.
-func (d *Dispatcher) countRequest(service string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.budget.CountRequest(d.now(), service)
-}
-
 // takeRetry takes one retry from the budget if allowed. share is the part of the budget that
 // this kind of retry may use up.
 func (d *Dispatcher) takeRetry(service string, share float64) bool {
@@ -190,7 +188,8 @@
 	return d.budget.HasTraffic(d.now())
 }
 
-// ApplyTally applies the sum of the other VMs' counts, loads, full servers and rates.
+// ApplyTally applies the sum of the other VMs' counts, loads, full servers and rates, and the demand of
+// all VMs.
 func (d *Dispatcher) ApplyTally(others tally.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,6 +208,7 @@
 	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
+	d.setOverall(others.Overall)
 	d.wakeLocked()
 }
 
@@ -226,12 +226,13 @@
 	return parts
 }
 
-// ForgetDemand divides the servers' request rates evenly again, when what other VMs get from callers
-// isn't known any more.
+// ForgetDemand divides the servers' request rates evenly again, and services between the accounts by
+// this VM's own requests, when what other VMs get from callers isn't known any more.
 func (d *Dispatcher) ForgetDemand() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.SetDemand(d.now(), nil)
+	d.setOverall(nil)
 }
 
 // ServerIn reports whether a server is in a data centre. It is false for a known server of another
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -20,6 +20,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/poison"
 	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
+	"oleandershunt.example/oleandershunt/internal/core/share"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 	"oleandershunt.example/oleandershunt/internal/wire"
@@ -123,7 +124,9 @@
 	route   routes.Route
 	service routes.Service
 	account routes.Account
-	body    []byte
+	// shareMark says how the request stands to its account's share of the service.
+	shareMark share.Mark
+	body      []byte
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
 	// contents are what the request has in common with others that may crash servers. claim
@@ -196,7 +199,7 @@
 	ctx, cancel := context.WithTimeoutCause(r.Context(), limit, errDeadline)
 	defer cancel()
 	x.ctx = ctx
-	h.Dispatcher.countRequest(x.service.Name)
+	h.Dispatcher.countArrival(x)
 	if x.route.Stream {
 		h.serveStream(x)
 	} else {
@@ -318,7 +321,7 @@
 		return
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_refused_total{reason=%q}", r.reason)).Inc()
-	telemetry.RelayRefused.Log(h.Log, append(x.logFields(), "reason", r.reason, "execution", r.execution, "status", r.status, "detail", x.detail)...)
+	telemetry.RelayRefused.Log(h.Log, append(x.logFields(), "reason", r.reason, "execution", r.execution, "status", r.status, "overShare", x.shareMark == share.Over, "detail", x.detail)...)
 }
 
 // logFields returns the fields of each log line about a request.
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -21,6 +21,8 @@
 	ContentBlocked      = Event{4224, "content blocked: servers were lost in trials of it"}
 	TrialBegun          = Event{4226, "request runs as the trial of what is held back"}
 	ContentCleared      = Event{4225, "content cleared: it doesn't crash servers"}
+	ShareExceeded       = Event{4228, "client accounts exceed their share of a service"}
+	ShareKept           = Event{4229, "no client account exceeds its share of the service any more"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
