Promise refused callers a return time, and refuse at once what would start too late

Cause: Retry-After was 500 ms for nearly every refusal, so that all refused callers came back together.

Change: internal/core/promise forecasts starts and gives out return times that fit the starts expected over all VMs. A caller that returns at its time goes before new requests of its account.

--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -6,6 +6,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
@@ -41,6 +42,11 @@
 	// full and rates are what VMs and data centres report of single servers.
 	full  fullServers
 	rates rateReports
+	// promises are the promised return times of all data centres, and localPromises those of this one.
+	promises, localPromises promiseSums
+	// keys are the promised keys of all reports as of keysAt.
+	keys   map[string][]promise.Due
+	keysAt time.Duration
 	// nextExpiry is the earliest time at which a part of a report may expire.
 	nextExpiry time.Duration
 	// window is the window of the retry budget.
@@ -80,6 +86,7 @@
 		dataCentre: dataCentre, vms: make(map[string]report), remote: make(map[string]report),
 		local: newSums(), all: newSums(), log: newLoadLog(epoch, isLocal),
 		full: make(fullServers), rates: make(rateReports), window: CountsTTL,
+		promises: make(promiseSums), localPromises: make(promiseSums),
 	}
 }
 
@@ -125,6 +132,7 @@
 	reports[from] = next
 	h.addCounts(next, vmSums)
 	h.replace(now, reporter{from, vmSums != nil}, before.tally, next.tally, vmSums)
+	h.replacePromises(before, next, vmSums != nil)
 	h.nextExpiry = min(h.nextExpiry, now+ReportTTL)
 }
 
@@ -210,6 +218,7 @@
 				delete(reports, from)
 			}
 			h.replace(now, reporter{from, vmSums != nil}, r.tally, left, vmSums)
+			h.replacePromises(r, report{}, vmSums != nil)
 		}
 		if r, ok := reports[from]; ok {
 			h.nextExpiry = min(h.nextExpiry, r.expiry(h.window))
@@ -223,7 +232,8 @@
 	sum := Tally{
 		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: h.LocalCounts(now).Histories,
 		Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report),
-		Demand: h.local.demand.Report(),
+		Demand:   h.local.demand.Report(),
+		Promises: h.localPromises.reports(now, report{}, promisedKeys(now, h.vms)),
 	}
 	for _, r := range h.vms {
 		for id, span := range r.tally.Full {
@@ -262,6 +272,8 @@
 		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
 		Rates:   h.rates.newest(),
 		Overall: h.overall(),
+		// So it is with a VM's own keys.
+		Promises: h.promises.reports(now, h.vms[vm], h.promisedKeys(now)),
 	}
 	return sum
 }
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -16,6 +16,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/demand"
+	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
 
@@ -50,6 +51,8 @@
 	// Overall is the demand that reached all VMs, that of the VM that the answer is for included. Only
 	// a hub's answer to a VM has it; nil from hubs of older builds and without requests.
 	Overall *demand.Overall
+	// Promises are the return times that they promised to refused callers, by service.
+	Promises map[string]promise.Report
 }
 
 // quantize rounds loads down to whole units, as messages do, so that sums are exact. Servers whose
--- a/internal/edge/tallymessages.go
+++ b/internal/edge/tallymessages.go
@@ -33,6 +33,7 @@
 		to.Counts[service] = &tallyv1.Count{Requests: uint32(total.Requests), Repeats: uint32(total.Retries)}
 	}
 	to.Demand, to.HeavyHitters = encodeDemand(from.Demand.Counts), encodeSummaries(from.Demand.Accounts)
+	to.Promises = encodePromises(from.Promises)
 	return to
 }
 
@@ -63,6 +64,8 @@
 		Full:   make(map[string]time.Duration),
 		Rates:  decodeRates(from, at),
 		Demand: demand.Report{Counts: decodeDemand(from.GetDemand()), Accounts: decodeSummaries(from.GetHeavyHitters())},
+
+		Promises: decodePromises(from),
 	}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -8,6 +8,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/queue"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/share"
@@ -32,6 +33,8 @@
 	service string
 	queue   *queue.Queue
 	waiting map[uint64]*waiter
+	// meter measures the starts.
+	meter promise.Meter
 	// err is why the last request that was tried couldn't start.
 	err error
 	// lastPass is when the queue was last processed, and nextPass when it will be; 0 if no pass is
@@ -54,6 +57,10 @@
 	first bool
 	// shareMark is the mark of the request, of which work is given back if it doesn't start.
 	shareMark share.Mark
+	// key identifies a request that is new at this VM; 0 for others and without promises.
+	key promise.Key
+	// due is the time at which the caller was promised to return, if it did; 0 if not.
+	due time.Duration
 	// err is why no server could be chosen at the last try.
 	err error
 	// admitted receives the result, once.
@@ -72,7 +79,7 @@
 func (w *waiter) expiry() time.Duration { return w.start + w.limits.limitFor(w.err) }
 
 // enter chooses a server for a request if none is to start before it, and otherwise queues it. ahead
-// is the number of requests to start before it.
+// is the number of requests to start before it. A request that would start too late gets its refusal.
 func (d *Dispatcher) enter(w *waiter) (result admission, ahead int, admitted bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -80,6 +87,7 @@
 	w.start = now
 	d.limitDue(now, w)
 	q := d.admissionQueue(w.service.Name)
+	d.claim(now, w)
 	ahead = q.queue.Ahead(now, w.item)
 	w.err = q.err // others are to start first
 	if ahead == 0 {
@@ -88,11 +96,16 @@
 		}
 		w.err, q.err = result.err, result.err
 	}
+	if d.startsTooLate(now, q, w, ahead) {
+		w.err = forecastError{}
+		return admission{err: w.err}, ahead, true
+	}
 	d.requestID++
 	w.item.ID, w.item.Expiry, w.admitted = d.requestID, w.expiry(), make(chan admission, 1)
 	q.queue.Push(now, w.item)
 	q.waiting[w.item.ID] = w
 	d.demand.counter.Queued(w.demandKey(), w.item.Work)
+	q.observeWaiting(now)
 	d.schedule(q, processInterval)
 	return admission{err: w.err}, ahead, false
 }
@@ -105,6 +118,7 @@
 	if q.queue.Remove(w.item.ID) {
 		delete(q.waiting, w.item.ID)
 		d.demand.counter.Dequeued(w.demandKey(), w.item.Work)
+		q.observeWaiting(d.now())
 		return
 	}
 	if result := <-w.admitted; result.err == nil {
@@ -129,6 +143,7 @@
 	d.fleet.CountSent(now, choice)
 	d.admissionQueue(w.service.Name).queue.Started(w.item)
 	d.countStarted(now, w)
+	d.recordStart(now, w)
 	return admission{choice: choice, load: load, pace: d.sendStream(now, limiter, w)}
 }
 
@@ -180,6 +195,7 @@
 	}
 	for d.startNext(now, q) {
 	}
+	q.observeWaiting(now)
 	d.schedule(q, processInterval)
 }
 
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -67,7 +67,12 @@
 	if x.route.Stream {
 		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
 	}
+	w.item.Claimed = x.claimed
+	if !x.entered && promisesReturn(x) {
+		w.key = promiseKey(x.poison)
+	}
 	result, ahead, admitted := h.Dispatcher.enter(w)
+	x.entered, x.claimed = true, w.item.Claimed
 	if limit := (*LimitError)(nil); errors.As(result.err, &limit) {
 		h.logLimit(x, limit)
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -12,6 +12,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
+	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 )
@@ -39,6 +40,8 @@
 	// limiters are the limits on streams by service.
 	limiters map[string]*serviceLimiter
 	demand   demandState
+	// calendar holds the return times that refused callers were promised.
+	calendar *promise.Calendar
 }
 
 // NewDispatcher returns a dispatcher without configuration or servers. now is the time since
@@ -46,7 +49,7 @@
 func NewDispatcher(now func() time.Duration, retryBudget *budget.Budget) *Dispatcher {
 	return &Dispatcher{
 		now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue),
-		limiters: make(map[string]*serviceLimiter), demand: newDemandState(),
+		limiters: make(map[string]*serviceLimiter), demand: newDemandState(), calendar: promise.New(),
 	}
 }
 
@@ -188,8 +191,8 @@
 	return d.budget.HasTraffic(d.now())
 }
 
-// ApplyTally applies the sum of the other VMs' counts, loads, full servers and rates, and the demand of
-// all VMs.
+// ApplyTally applies the sum of the other VMs' counts, loads, full servers, rates and promises, and the
+// demand of all VMs.
 func (d *Dispatcher) ApplyTally(others tally.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -209,6 +212,7 @@
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
 	d.setOverall(others.Overall)
+	d.calendar.SetRemotes(d.now(), others.Promises)
 	d.wakeLocked()
 }
 
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -158,7 +158,10 @@
 	// unknown.
 	deferReason Reason
 	retryIn     time.Duration
-	timing      deliveryTiming
+	// entered is set once the request was in the admission queue or started. claimed says that it
+	// returned at its promised time.
+	entered, claimed bool
+	timing           deliveryTiming
 	// begun is set once the contents were cleared since the stream has begun.
 	begun bool
 	// events counts the delivered events; after is the ID of the last one.
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -28,7 +28,7 @@
 			if errors.Is(err, backends.ErrFull) {
 				reason = ReasonOverloaded
 			}
-			h.refuse(x, x.finalRefusal(reason))
+			h.refuse(x, h.finalRefusal(x, reason))
 			return
 		}
 		body, result := h.attemptPlain(x, o)
@@ -49,7 +49,7 @@
 		}
 		reason, wait = refusalReason(result), waitLimits{}
 		if result != responded && !h.mayRetry(x, result) {
-			h.refuse(x, x.finalRefusal(reason))
+			h.refuse(x, h.finalRefusal(x, reason))
 			return
 		}
 	}
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -147,7 +147,7 @@
 }
 
 // finalRefusal returns the refusal of a request that could not be served.
-func (x *exchange) finalRefusal(reason Reason) *refusal {
+func (h *Handler) finalRefusal(x *exchange, reason Reason) *refusal {
 	timeout := errors.Is(context.Cause(x.ctx), errDeadline)
 	if timeout {
 		reason = ReasonTimeout
@@ -157,7 +157,9 @@
 		return uncertainRefusal(reason)
 	case x.deferReason != "" && !timeout:
 		return notRunRefusal(x.deferReason, max(x.retryIn, retryAfterDefault))
-	default:
-		return notRunRefusal(reason, retryAfterDefault)
 	}
+	if refused := h.overloadRefusal(x, reason); refused != nil {
+		return refused
+	}
+	return notRunRefusal(reason, retryAfterDefault)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -70,7 +70,7 @@
 // that it can't be mistaken for a complete one.
 func (h *Handler) abandon(x *exchange, started bool, reason Reason) {
 	if !started {
-		h.refuse(x, x.finalRefusal(reason))
+		h.refuse(x, h.finalRefusal(x, reason))
 		return
 	}
 	if h.callerLeft(x, context.Cause(x.ctx)) {
