Divide requests over data centres by demand and capacity

Cause: the data centre of a request followed from constants.

Change: internal/core/division computes from the demand by data centre and the servers' capacity which fraction of the requests starts elsewhere. While demand fits, choices are as before.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -159,6 +159,18 @@
 	}
 }
 
+// Unreachable returns the data centres that are currently unreachable, ordered by name.
+func (f *Fleet) Unreachable(now time.Duration) []string {
+	var list []string
+	for dataCentre, until := range f.unreachableUntil {
+		if now < until {
+			list = append(list, dataCentre)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // SetPlatformDown records that the platform doesn't answer this VM.
 func (f *Fleet) SetPlatformDown() { f.platformDown = true }
 
--- a/internal/core/backends/bench_test.go
+++ b/internal/core/backends/bench_test.go
@@ -38,6 +38,20 @@
 	}
 }
 
+// BenchmarkPathElsewhere measures choosing the path of one request that is to start in another data
+// centre.
+func BenchmarkPathElsewhere(b *testing.B) {
+	f := backends.New()
+	f.Replace(0, uniformServers(33), 1)
+	elsewhere := request()
+	elsewhere.Preferred = "b"
+	for b.Loop() {
+		if _, err := f.Path(0, service(), elsewhere); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkReplace measures applying the first list on a VM that starts.
 func BenchmarkReplace(b *testing.B) {
 	for _, n := range []int{33, 190, 770, 3000} {
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -19,6 +19,9 @@
 type Request struct {
 	// DataCentre is the VM's data centre.
 	DataCentre string
+	// Preferred is the data centre in which the request is to start if possible. Empty means
+	// DataCentre.
+	Preferred string
 	// Prompt is the number of prompt tokens and Answer the maximum number of answer tokens.
 	Prompt, Answer float64
 	// Avoid lists servers that failed this request.
@@ -37,6 +40,9 @@
 	pausesAsOf time.Duration
 }
 
+// preferred returns the data centre in which the request is to start if possible.
+func (r Request) preferred() string { return cmp.Or(r.Preferred, r.DataCentre) }
+
 // Choice is the destination of an attempt.
 type Choice struct {
 	// First receives the request.
@@ -101,9 +107,9 @@
 
 // Weights of the cost function.
 const (
-	// remoteStartCost is the cost, in milliseconds, of starting in another data centre: such a
-	// request breaks when that data centre is cut off, and its answer crosses the link. A typical
-	// request costs two to four thousand.
+	// remoteStartCost is the cost, in milliseconds, of starting outside the preferred data centre:
+	// such a request breaks when that data centre is cut off, and its answer crosses the link. A
+	// typical request costs two to four thousand.
 	remoteStartCost = 1500.0
 	// crossingCost is the cost of continuing in another data centre, for paths without an
 	// alternative.
@@ -251,14 +257,17 @@
 	return base * s.currentPace(now) * f.memoryFactor(now, s, s.requestCapacity(engine, held))
 }
 
+// minCardFactor is the minimum of the factors of a card, for configurations that have none.
+const minCardFactor = 0.1
+
 // requestMillis is the time in milliseconds that a request takes through all layers on a kind of
 // card. step is the time of one token at pace 1.
 func requestMillis(engine *routes.Engine, card routes.Card, step time.Duration, request Request) float64 {
 	prefill := 0.0
 	if engine.ReadPerSecond > 0 {
-		prefill = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, 0.1)
+		prefill = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, minCardFactor)
 	}
-	return request.Answer*float64(step)/float64(time.Millisecond)*max(card.Pace, 0.1) + prefill
+	return request.Answer*float64(step)/float64(time.Millisecond)*max(card.Pace, minCardFactor) + prefill
 }
 
 // memoryFactor is the factor by which the cost of a server rises as its free memory shrinks.
@@ -277,7 +286,7 @@
 // request on the slowest cards.
 func (f *Fleet) firstCost(s *serverState, request Request, slowest float64) float64 {
 	cost := f.slotCost(s, slowest)
-	if s.DataCentre != request.DataCentre {
+	if s.DataCentre != request.preferred() {
 		cost += remoteStartCost
 	}
 	return cost
@@ -297,7 +306,7 @@
 }
 
 // Instance chooses the server of a plain service: the one with the fewest requests per slot from
-// all VMs, in the VM's own data centre unless that is much busier. Ties go to the server that this
+// all VMs, in the preferred data centre unless that is much busier. Ties go to the server that this
 // VM used least recently.
 //
 // With many VMs each has no running requests most of the time and sees all servers as idle. If ties
@@ -326,7 +335,7 @@
 			continue
 		}
 		load := float64(f.expectedRunning(s)) / float64(max(s.Slots, 1))
-		if s.DataCentre != request.DataCentre {
+		if s.DataCentre != request.preferred() {
 			load += remoteLoadPenalty
 		}
 		if best == nil || load < least || load == least && s.usedBefore(best) {
@@ -336,8 +345,8 @@
 	return best
 }
 
-// remoteLoadPenalty is how much busier, as a fraction of its slots, a local server may be than one
-// in another data centre. Traffic between data centres is charged.
+// remoteLoadPenalty is how much busier, as a fraction of its slots, a server of the preferred data
+// centre may be than one in another. Traffic between data centres is charged.
 const remoteLoadPenalty = 0.7
 
 // plainQueueFactor is how many times its slots a server of a plain service may have in requests. As
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -148,7 +148,10 @@
 }
 
 func (h *Handler) choiceRequest(x *exchange) backends.Request {
-	request := backends.Request{DataCentre: h.DataCentre, Avoid: x.avoid, Prompt: float64(x.call.PromptTokens)}
+	if x.preferred == "" {
+		x.preferred = h.Dispatcher.drawDataCentre(x.service.Name, h.DataCentre)
+	}
+	request := backends.Request{DataCentre: h.DataCentre, Preferred: x.preferred, Avoid: x.avoid, Prompt: float64(x.call.PromptTokens)}
 	if x.allowed != nil {
 		request.Avoid, request.Allowed = nil, x.allowed
 	}
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -42,6 +42,8 @@
 	demand   demandState
 	// calendar holds the return times that refused callers were promised.
 	calendar *promise.Calendar
+	// division says in which data centres requests start.
+	division distribution
 }
 
 // NewDispatcher returns a dispatcher without configuration or servers. now is the time since
@@ -213,6 +215,7 @@
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
 	d.setOverall(others.Overall)
 	d.calendar.SetRemotes(d.now(), others.Promises)
+	d.applyDemand(others.Overall)
 	d.wakeLocked()
 }
 
--- /dev/null
+++ b/internal/relay/division.go
@@ -0,0 +1,128 @@
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"oleandershunt.example/oleandershunt/internal/core/demand"
+	"oleandershunt.example/oleandershunt/internal/core/division"
+	"oleandershunt.example/oleandershunt/internal/core/routes"
+)
+
+// distribution decides in which data centre requests start.
+type distribution struct {
+	divider division.Divider
+	// home is the VM's data centre.
+	home string
+	// changes are the services that started or stopped to be divided since the last call of
+	// TakeDivisionChanges.
+	changes []division.Change
+}
+
+// SetDataCentre sets the VM's data centre.
+func (d *Dispatcher) SetDataCentre(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.division.home = name
+}
+
+// SetDemandByDataCentre makes a new plan for the demand by data centre and service. A data centre
+// without current figures is missing.
+func (d *Dispatcher) SetDemandByDataCentre(byDataCentre map[string]map[string]division.Demand) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.divide(byDataCentre)
+}
+
+// TakeDivisionChanges returns the services that started or stopped to be divided since the last call.
+func (d *Dispatcher) TakeDivisionChanges() []division.Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	changes := d.division.changes
+	d.division.changes = nil
+	return changes
+}
+
+// applyDemand makes a new plan for the demand that reached all VMs; overall is nil without any. It
+// must be called with the lock held.
+func (d *Dispatcher) applyDemand(overall *demand.Overall) {
+	if overall == nil && !d.division.divider.Divides() {
+		return
+	}
+	byDataCentre := make(map[string]map[string]division.Demand)
+	if overall != nil {
+		for dataCentre, rates := range overall.DataCentres {
+			byDataCentre[dataCentre] = demandByService(rates)
+		}
+	}
+	d.divide(byDataCentre)
+}
+
+// demandByService adds up rates over priorities.
+func demandByService(rates map[demand.Key]demand.Rate) map[string]division.Demand {
+	services := make(map[string]division.Demand, len(rates))
+	for key, rate := range rates {
+		sum := services[key.Service]
+		sum.Offered, sum.Started = sum.Offered+float64(rate.Offered), sum.Started+float64(rate.Started)
+		services[key.Service] = sum
+	}
+	return services
+}
+
+// divide makes a new plan. It must be called with the lock held.
+func (d *Dispatcher) divide(byDataCentre map[string]map[string]division.Demand) {
+	if d.table == nil {
+		return
+	}
+	now := d.now()
+	var services []routes.Service
+	for _, name := range d.table.ServiceNames() {
+		if service, ok := d.table.Service(name); ok {
+			services = append(services, service)
+		}
+	}
+	s := &d.division
+	s.changes = append(s.changes, s.divider.Update(now, division.Observation{
+		Home: s.home, Demand: byDataCentre, Capacities: d.fleet.Capacities(now, services), Unreachable: d.fleet.Unreachable(now),
+	})...)
+	s.setGauges(now)
+}
+
+// setGauges sets the metrics of the plan and its inputs in this data centre.
+func (s *distribution) setGauges(now time.Duration) {
+	for service, input := range s.divider.Services() {
+		site, fraction := input.Sites[s.home], 0.0
+		for _, share := range s.divider.Shares(now, service, s.home) {
+			fraction += share.Fraction
+		}
+		setServiceGauge("oleandershunt_division_capacity", service, site.Total)
+		setServiceGauge("oleandershunt_division_demand", service, site.Demand)
+		setServiceGauge("oleandershunt_division_fraction", service, fraction)
+	}
+}
+
+func setServiceGauge(name, service string, value float64) {
+	metrics.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", name, service), nil).Set(value)
+}
+
+// DemandExceedsCapacity reports whether the demand for a service in the VM's data centre exceeds its
+// capacity there.
+func (d *Dispatcher) DemandExceedsCapacity(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.division.divider.Exceeds(d.now(), service, d.division.home)
+}
+
+// drawDataCentre draws the data centre in which a request is to start.
+func (d *Dispatcher) drawDataCentre(service, home string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	drawn := d.division.divider.Draw(d.now(), service, home, rand.Float64())
+	if drawn != home {
+		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_division_requests_total{service=%q}", service)).Inc()
+	}
+	return drawn
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -136,6 +136,8 @@
 	claim, trial uint64
 	jointTrial   bool
 	start        time.Time
+	// preferred is the data centre in which the request is to start. Empty until it is drawn.
+	preferred string
 	// avoid lists the servers that failed the request.
 	avoid []string
 	// ranOn lists the servers that ran the request or may have. Those that broke it off while
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -45,6 +45,8 @@
 	DataCentreBack     = Event{6104, "data centre is reached again"}
 	ServersLost        = Event{6105, "paths to backend servers are lost"}
 	ServersRegained    = Event{6106, "paths to backend servers work again"}
+	ServiceDivided     = Event{6107, "service is divided over data centres"}
+	ServiceUndivided   = Event{6108, "service is not divided over data centres any more"}
 	RelayProofLost     = Event{2103, "configuration is not proven to be the newest"}
 	RelayProofBack     = Event{2104, "configuration is proven to be the newest again"}
 	RelayConfigUnread  = Event{2105, "configuration can't be read from the platform"}
