Refuse new requests at a VM that has reached its own limits, and mend two red tests

Cause: VMs of a deployment have 0.192 to 0.8 cores, and a small one that got many connections answered late. A hub took up to 1.5 s without reports for no break and answered with counts that it didn't have. A stand-in that was killed before it served still accepted connections.

A hub's break is three reporting intervals. Killed stand-ins close their listeners.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -76,9 +76,10 @@
 	pace                          float64
 	paceUpdatedAt, paceReportedAt time.Duration
 	sharePace                     bool
-	// localUsage is what this VM's requests use on the server, and publishedUsage what this VM last
-	// published of that to the other VMs.
-	localUsage, publishedUsage Usage
+	// localUsage is what this VM's requests use on the server, and published what this VM published of
+	// that to the other VMs in its last rounds, the latest first.
+	localUsage Usage
+	published  [publishedRounds]Usage
 	// lastRequest is the number of this VM's latest request to the server.
 	lastRequest uint64
 }
@@ -118,6 +119,8 @@
 	// unreachableUntil is until when a data centre counts as unreachable.
 	unreachableUntil map[string]time.Duration
 	subsets          subsets
+	// dataCentre is that of this VM, if set.
+	dataCentre string
 }
 
 // New returns an empty fleet.
--- a/internal/core/backends/prompts_test.go
+++ b/internal/core/backends/prompts_test.go
@@ -99,6 +99,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		f.AddLoad(choice.Load(1000))
 		f.PublishUsage()
+		f.PublishUsage() // the others publish between this VM's rounds
 		_, err = f.Path(0, service(), request())
 		g.Expect(err).NotTo(HaveOccurred(), "published loads are known to the others")
 	}
--- a/internal/core/backends/slots.go
+++ b/internal/core/backends/slots.go
@@ -39,15 +39,10 @@
 	return slowest
 }
 
-// queuedSlotsFraction is the number of requests that may queue at a server, as a fraction of its slots:
-// enough to use a slot that becomes free before the VMs know of it.
-const queuedSlotsFraction = 1.0 / 16
-
-// hasSlot reports whether a path may start at a server: a slot is expected to be free, or its queue to
-// be short. A request that queues there for long is given up by its caller, and the one that starts next
+// hasSlot reports whether a path may start at a server, since a slot is expected to be free. A request that queues there for long is given up by its caller, and the one that starts next
 // finds no memory left on the rest of its path.
 func (f *Fleet) hasSlot(s *serverState, request Request) bool {
-	return request.IgnoreCapacity || s.Slots <= 0 || f.expectedStarts(s) < (1+queuedSlotsFraction)*float64(s.Slots)
+	return request.IgnoreCapacity || s.Slots <= 0 || f.expectedStarts(s) < float64(s.Slots)
 }
 
 // expectedStarts is expectedRunning plus an estimate of what the other VMs have started at a server since
@@ -57,7 +52,7 @@
 	if f.remoteVMs == 0 {
 		return float64(running)
 	}
-	return float64(running) + float64(max(s.localUsage.Running-s.publishedUsage.Running, 0))*f.othersDemand(s.Service)
+	return float64(running) + float64(max(f.recentAdditions(s).Running, 0))*f.othersDemand(s.Service)
 }
 
 // expectedRunning is the number of requests of all VMs that run or queue at a server, as far as
--- a/internal/core/backends/usage.go
+++ b/internal/core/backends/usage.go
@@ -39,16 +39,40 @@
 func (f *Fleet) PublishUsage() map[string]Usage {
 	loads := make(map[string]Usage)
 	for id, s := range f.subsets.used {
-		s.publishedUsage = s.localUsage
-		if s.localUsage == (Usage{}) {
-			delete(f.subsets.used, id)
-		} else {
+		copy(s.published[1:], s.published[:])
+		s.published[0] = s.localUsage
+		if s.localUsage != (Usage{}) {
 			loads[id] = s.localUsage
+		} else if s.published == ([publishedRounds]Usage{}) {
+			delete(f.subsets.used, id)
 		}
 	}
 	return loads
 }
 
+// The rounds of publishing after which the sum of the other VMs' loads includes what they had at the
+// time: they publish at other moments than this VM, and learn the loads of servers in other data centres
+// in every fourth round only.
+const (
+	roundsUntilKnown          = 2
+	roundsUntilKnownElsewhere = 5
+	publishedRounds           = roundsUntilKnownElsewhere
+)
+
+// SetDataCentre sets the data centre of this VM. Until it is set, all servers count as its own.
+func (f *Fleet) SetDataCentre(dataCentre string) { f.dataCentre = dataCentre }
+
+// recentAdditions is what this VM added on a server in the time for which it doesn't know what the
+// other VMs did there.
+func (f *Fleet) recentAdditions(s *serverState) Usage {
+	rounds := roundsUntilKnown
+	if f.dataCentre != "" && s.DataCentre != f.dataCentre {
+		rounds = roundsUntilKnownElsewhere
+	}
+	before := s.published[rounds-1]
+	return Usage{Memory: s.localUsage.Memory - before.Memory, Running: s.localUsage.Running - before.Running}
+}
+
 // memoryUsed is the memory that requests of all VMs use on a server, as far as this VM knows.
 func (f *Fleet) memoryUsed(s *serverState) float64 {
 	return s.localUsage.Memory + f.remoteUsage[s.ID].Memory
@@ -64,7 +88,7 @@
 // started are not included in remoteUsage yet. A VM that has added nothing expects nothing, so that
 // the first request of each of many VMs is admitted.
 func (f *Fleet) expectedMemory(s *serverState) float64 {
-	return f.memoryUsed(s) + max(s.localUsage.Memory-s.publishedUsage.Memory, 0)*f.othersDemand(s.Service)
+	return f.memoryUsed(s) + max(f.recentAdditions(s).Memory, 0)*f.othersDemand(s.Service)
 }
 
 // othersDemand returns the other VMs' demand for a service as a multiple of this VM's. Without data on
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -19,8 +19,9 @@
 	// retries count for so long, whatever became of the VM.
 	CountsTTL = 10 * time.Second
 	// idlePeriod is the time without reports after which a hub no longer knows what VMs did
-	// meanwhile.
-	idlePeriod = 2 * ReportTTL
+	// meanwhile: three reporting intervals. VMs whose hub doesn't answer use another one for at
+	// least a second.
+	idlePeriod = ReportTTL
 	// inheritPeriod is how long a hub waits for the counts that others knew before: three
 	// reporting intervals, until each VM has reported to it, has learnt that it is another hub,
 	// and has passed on what it knew. The first of them may know less than others.
--- a/internal/core/tally/restart_test.go
+++ b/internal/core/tally/restart_test.go
@@ -239,6 +239,24 @@
 	expectLimitKept(t, []loss{{3300 * time.Millisecond, 0.6, true}, {5 * time.Second, 0.6, true}})
 }
 
+// Guards against a hub that claims to know all counts after a second without reports, in which the
+// VMs used another hub, and of which it knows only what the running VMs did.
+func TestHubUsedAgainAfterASecondDoesNotKnowTheCounts(t *testing.T) {
+	g := NewWithT(t)
+	const start, inherit = 20 * time.Second, 750 * time.Millisecond
+	hub := tally.NewHub("a", 1, anyServer)
+	hub.Serve(start)
+	hub.Inherit(start, tally.Counts{At: start, Histories: map[string]budget.History{"llm": {{Retries: 5}}}})
+	again := start + 1300*time.Millisecond
+	hub.Serve(start + 300*time.Millisecond)
+	hub.Serve(again)
+	g.Expect(hub.KnowsCounts(again)).To(BeFalse())
+	hub.Inherit(again, tally.Counts{At: again, Histories: map[string]budget.History{"llm": {{Retries: 9}}}})
+	hub.Serve(again + inherit)
+	g.Expect(hub.KnowsCounts(again + inherit)).To(BeTrue())
+	g.Expect(budget.Totals(hub.LocalCounts(again + inherit).Histories)["llm"].Retries).To(Equal(9))
+}
+
 func expectLimitKept(t *testing.T, losses []loss) {
 	g := NewWithT(t)
 	for seed := range uint64(3) {
--- a/internal/edge/tunnels.go
+++ b/internal/edge/tunnels.go
@@ -1,6 +1,9 @@
 package edge
 
 import (
+	"context"
+	"net"
+
 	"oleandershunt.example/oleandershunt/internal/bootclock"
 	"oleandershunt.example/oleandershunt/internal/relay"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
@@ -8,7 +11,8 @@
 )
 
 // connectTunnels lets this VM reach servers through the others, and the others through this one.
-func (t *peerNetwork) connectTunnels(servers *serverconn.Connector, dispatcher *relay.Dispatcher) *tunnel.Server {
+// forwarded counts the bytes of the others.
+func (t *peerNetwork) connectTunnels(servers *serverconn.Connector, dispatcher *relay.Dispatcher, forwarded *byteCounter) *tunnel.Server {
 	servers.SetTunnels(tunnel.NewDialer(tunnel.DialerOptions{
 		VMs:    func() (local, remote []string) { return t.members.current().otherNames(t.self, t.dataCentre) },
 		DialVM: t.dialer.DialVM,
@@ -19,7 +23,14 @@
 		},
 		Now: bootclock.Now,
 	}))
-	t.tunnels = tunnel.NewServer(tunnel.ServerOptions{Connect: servers.ConnectForPeer, Registered: func(address string) bool {
+	connect := func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := servers.ConnectForPeer(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return forwarded.conn(conn), nil
+	}
+	t.tunnels = tunnel.NewServer(tunnel.ServerOptions{Connect: connect, Registered: func(address string) bool {
 		_, registered := dispatcher.ServiceAt(address)
 		return registered
 	}})
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -66,6 +66,9 @@
 	OnFindings func()
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
+	// Saturated, if set, reports whether the VM refuses new requests since it has reached one of its
+	// limits, with the reason for the log.
+	Saturated func() (detail string, saturated bool)
 	// Servers connects to backend servers. Nil means directly only, without probes of lost paths.
 	Servers *serverconn.Connector
 }
@@ -176,7 +179,10 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), call: h.Wire.Read(r)}
-	refused := h.admit(x)
+	refused := h.refuseSaturated(x)
+	if refused == nil {
+		refused = h.admit(x)
+	}
 	if refused == nil {
 		refused = h.readBody(x)
 	}
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -73,6 +73,7 @@
 // life is one incarnation of an engine. A crash ends it, with all its memory.
 type life struct {
 	incarnation uint64
+	listener    net.Listener
 	server      *http.Server
 	slots       *slots
 	memory      atomic.Pointer[memory]
@@ -114,6 +115,7 @@
 // new process doesn't take the number of an earlier one.
 func (e *Engine) begin(listener net.Listener) {
 	l := &life{
+		listener:    listener,
 		incarnation: uint64(time.Now().UnixNano()),
 		slots:       newSlots(max(e.options.Batch, 1)),
 		attempts:    make(map[engine.Attempt]context.CancelFunc),
@@ -154,7 +156,12 @@
 func (e *Engine) Name() string { return e.options.Server }
 
 // Kill ends the engine at once, as a crash does: connections break and caches are lost.
-func (e *Engine) Kill() { _ = e.current().server.Close() }
+// The server closes its listener only once Serve runs, so the listener is closed too.
+func (e *Engine) Kill() {
+	l := e.current()
+	_ = l.listener.Close()
+	_ = l.server.Close()
+}
 
 // Restart brings a killed engine back at its address as a new incarnation.
 func (e *Engine) Restart() error {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -66,8 +66,12 @@
 // Address is the service's host:port.
 func (s *Service) Address() string { return s.listener.Addr().String() }
 
-// Kill ends the service at once.
-func (s *Service) Kill() { _ = s.server.Close() }
+// Kill ends the service at once. The server closes its listener only once Serve runs, and until then
+// the kernel accepts connections, so the listener is closed too.
+func (s *Service) Kill() {
+	_ = s.listener.Close()
+	_ = s.server.Close()
+}
 
 // SetFaults replaces the service's faults.
 func (s *Service) SetFaults(f ServiceFaults) {
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -38,6 +38,8 @@
 	RelayConfigInForce = Event{2101, "routes in force"}
 	RelayConfigBad     = Event{2102, "routes can't be read; the former stay"}
 	RelaySettingsRead  = Event{1101, "settings read again"}
+	VMSaturated        = Event{1103, "VM has reached one of its limits; it refuses new requests"}
+	VMUnsaturated      = Event{1104, "VM is below its limits again"}
 	RelaySettingsBad   = Event{1102, "settings can't be read; the former stay"}
 	RelayServers       = Event{6101, "backend servers changed"}
 	PeerUnread         = Event{6102, "word of another VM can't be read"}
