--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -101,9 +101,9 @@
 // ErrFull is returned if there is a path for a request, but no free capacity on it.
 var ErrFull = eris.New("backend servers have no room for the request now: come back, or let more servers hold these layers")
 
-// overcommitFactor is the fraction of a server's memory that may be reserved. It exceeds 1 because
-// requests reach the size that they reserve only at their end.
-const overcommitFactor = 1.1
+// overcommitFactor is the fraction of a server's memory that may be reserved. Requests reach the size
+// that they reserve only at their end, which leaves a margin for those that get larger than estimated.
+const overcommitFactor = 1.0
 
 // Weights of the cost function.
 const (
@@ -198,7 +198,7 @@
 	}
 	memory := (request.Prompt + request.Answer) * float64(held.Layers.Len())
 	// An idle server has capacity for a request of any size: it rejects one that is too large itself.
-	return f.memoryUsed(s) == 0 || f.expectedMemory(s)+memory <= overcommitFactor*s.requestCapacity(engine, held)
+	return f.memoryUsed(s) == 0 || f.expectedMemory(s)+memory <= s.learned.usable(now)*s.requestCapacity(engine, held)
 }
 
 // versions returns the versions of the weights, newest first.
--- a/internal/core/backends/division_test.go
+++ b/internal/core/backends/division_test.go
@@ -272,7 +272,7 @@
 // against an excess that swings between data centres, because the loads and the demand of other VMs
 // are known 250 to 500 ms late. The demand of each data centre is a wave and exceeds its capacity in
 // turn. The fraction has two reversals in a period of the own wave, and two more where the room of the
-// other data centres limits it; without smoothing of the free capacity there were eight.
+// other data centres limits it; without smoothing of demand and free capacity there are up to nine.
 func TestExcessOfAWaveIsServedElsewhereWithoutOscillation(t *testing.T) {
 	for _, c := range []waveCase{
 		{"equal", []float64{1, 1, 1}, []float64{0.85, 0.85, 0.85}, 1, 1},
--- a/internal/core/demand/demand_test.go
+++ b/internal/core/demand/demand_test.go
@@ -211,3 +211,42 @@
 	var none *demand.Overall
 	g.Expect(none.Service("busy")).To(BeZero())
 }
+
+// overallOf returns the demand for services, of which those in short are short of capacity.
+func overallOf(work int64, services []string, short ...string) *demand.Overall {
+	overall := &demand.Overall{Counts: make(map[demand.Key]demand.Counts), DataCentres: map[string]map[demand.Key]demand.Rate{"a": {}}}
+	for _, service := range services {
+		key := demand.Key{Service: service}
+		overall.Counts[key] = demand.Counts{Offered: demand.Amount{Requests: 1, Work: work}}
+		overall.DataCentres["a"][key] = demand.Rate{Offered: work}
+	}
+	for _, service := range short {
+		key := demand.Key{Service: service}
+		counts := overall.Counts[key]
+		counts.Waiting = demand.Amount{Requests: 1, Work: 1}
+		overall.Counts[key] = counts
+	}
+	return overall
+}
+
+// Guards against demand that is used for longer than its lifetime, and against an update of some services
+// that makes a VM forget the others.
+func TestViewMergesUpdatesOfServicesShortOfCapacity(t *testing.T) {
+	g := NewWithT(t)
+	var view demand.View
+	g.Expect(view.Apply(0, nil, false)).To(BeNil(), "a hub of an earlier build")
+	first := overallOf(10, []string{"busy", "calm"}, "busy")
+	g.Expect(view.Apply(0, first, true)).To(Equal(first))
+	update := overallOf(20, []string{"busy", "calm"}, "busy").Short()
+	g.Expect(update.Services()).To(Equal([]string{"busy"}))
+	merged := view.Apply(time.Second, update, false)
+	g.Expect(merged.Services()).To(Equal([]string{"busy", "calm"}))
+	g.Expect(merged.Service("busy").Offered.Work).To(BeNumerically("==", 20))
+	g.Expect(merged.Rate("busy", "a").Offered).To(BeNumerically("==", 20))
+	g.Expect(merged.Rate("calm", "a").Offered).To(BeNumerically("==", 10))
+	g.Expect(first.Service("busy").Offered.Work).To(BeNumerically("==", 10), "what was handed out stays as it is")
+	g.Expect(view.Apply(demand.ViewLifetime, nil, false).Services()).To(HaveLen(2))
+	g.Expect(view.Apply(demand.ViewLifetime+1, update, false).Services()).To(Equal([]string{"busy"}))
+	g.Expect(view.Apply(2*time.Second, nil, true)).To(BeNil())
+	g.Expect(overallOf(1, []string{"calm"}).Short()).To(BeNil())
+}
--- a/internal/core/pace/gradient.go
+++ b/internal/core/pace/gradient.go
@@ -9,16 +9,19 @@
 	// minWindow is the least number of observations in a window, so that a single stalled stream
 	// doesn't lower a small limit.
 	minWindow = 8
-	// maxWindow is the longest duration of a window: older observations say nothing about the present.
-	maxWindow = 2 * time.Second
+	// maxWindow is the duration after which a window ends with minExpired observations, as on a VM with
+	// few streams: older ones say nothing about the present.
+	maxWindow  = 2 * time.Second
+	minExpired = 2
 	// minDecrease and maxDecrease are the factors of the least and the greatest decrease.
 	minDecrease, maxDecrease = 0.9, 0.25
 	// maxRatio bounds an observation, as a multiple of the set point, so that a quarter of stalled
 	// streams doesn't make the average of a window late.
 	maxRatio = 1.5
-	// increaseGain is the increase for an observation far below the set point. A limit of which all
-	// observations are such grows by this factor within the time of one observation.
-	increaseGain = 0.5
+	// increaseGain times the square of the distance from the set point is the increase for an
+	// observation. Far below the set point a limit doubles within the time of one observation, as in
+	// TCP's slow start; near it, the square keeps VMs that all increase from overshooting.
+	increaseGain = 1.4
 )
 
 // gradient is a concurrency limit that follows an observed latency.
@@ -67,8 +70,10 @@
 // observe records the latency of a stream that was sent at the given time and reports whether it
 // lowered the limit.
 func (g *gradient) observe(now, sent, latency, setpoint time.Duration) bool {
-	if now > g.windowStart+maxWindow {
-		g.restart(now - maxWindow)
+	expired := now > g.windowStart+maxWindow
+	if expired && g.count < minExpired {
+		g.restart(now)
+		expired = false
 	}
 	if sent < g.loweredAt {
 		return false
@@ -77,14 +82,14 @@
 	g.sum += ratio
 	g.count++
 	if ratio < 1 && g.limit > 0 && g.fullAt >= sent {
-		g.limit += increaseGain * (1 - ratio)
+		g.limit += increaseGain * (1 - ratio) * (1 - ratio)
 	}
-	if g.count < minWindow || float64(g.count) < g.limit {
+	if !expired && (g.count < minWindow || float64(g.count) < g.limit) {
 		return false
 	}
 	mean := g.sum / float64(g.count)
 	g.late = mean > 1
-	lowered := g.late && (g.limit == 0 || g.fullAt >= g.windowStart)
+	lowered := g.late && (g.limit == 0 || g.fullAt > 0 && g.fullAt >= g.windowStart)
 	if lowered {
 		g.lower(now, mean, setpoint)
 	}
@@ -107,5 +112,5 @@
 
 // restart begins a window.
 func (g *gradient) restart(start time.Duration) {
-	g.windowStart, g.sum, g.count, g.completed = max(start, 0), 0, 0, 0
+	g.windowStart, g.sum, g.count, g.completed = start, 0, 0, 0
 }
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -19,10 +19,13 @@
 	// startingSetpoint is the fraction of the latency target that the time to the first event is to
 	// have; the rest is for the wait in the queue and for variance. maxStartingSetpoint bounds it where
 	// an idle server already takes longer.
-	startingSetpoint, maxStartingSetpoint = 0.5, 0.75
+	startingSetpoint, maxStartingSetpoint = 0.45, 0.75
 	// unloadedFactor is how many times the time on an idle server the set point is at least: below it,
 	// the limit would fall to its minimum without any queue at the servers.
 	unloadedFactor = 1.5
+	// modelShare is the fraction of the latency target in which servers are to read the prompts of the
+	// initial starting limit.
+	modelShare = 0.5
 	// runningSetpoint is the fraction of the gap target that the longest gaps are to have.
 	runningSetpoint = 1
 	// firstEventMargin is the factor of the average time to the first event within which most first
@@ -119,7 +122,7 @@
 	if l.starting.loweredAt > 0 && now < l.starting.loweredAt+modelHold {
 		return
 	}
-	share := l.capacity.PromptsPerSecond * l.capacity.Part * startingSetpoint * target.Seconds()
+	share := l.capacity.PromptsPerSecond * l.capacity.Part * modelShare * target.Seconds()
 	l.starting.limit = max(l.starting.limit, share, minLimit)
 }
 
--- a/internal/core/promise/calendar.go
+++ b/internal/core/promise/calendar.go
@@ -33,6 +33,8 @@
 	// windowBuckets is the number of buckets over which promises are spaced out, so that rates that
 	// aren't a whole number per bucket are used up.
 	windowBuckets = 10
+	// never is after any caller's time.
+	never = 24 * time.Hour
 )
 
 // Calendar holds the promises that are outstanding. The zero value is not usable; use New.
@@ -141,6 +143,9 @@
 // to the part of the rate that is this VM's.
 func (c *Calendar) Forecast(now time.Duration, service string, ahead int, rate float64) time.Duration {
 	s := c.schedule(now, service)
+	if rate <= 0 {
+		return now + never
+	}
 	part := rate / (rate + s.remoteRate)
 	left, from := float64(ahead), now
 	for range Horizon {
@@ -169,6 +174,9 @@
 		return 0, false
 	}
 	s.drop(r.Key)
+	if rate < minRate {
+		return 0, false // a caller that returns may find no start within its wait
+	}
 	from := bucketOf(c.Forecast(now, service, r.Ahead, rate)) + 1
 	// Buckets that are about to begin are left out, and the last one ends before the limit.
 	from = max(from, bucketOf(now+BucketWidth/2)+1)
--- a/internal/core/promise/meter.go
+++ b/internal/core/promise/meter.go
@@ -15,6 +15,8 @@
 	// minRate is the lowest rate assumed, in starts per second. Without it one hang of a server would
 	// put off callers for ever.
 	minRate = 1.0
+	// meterPriorities is the number of priorities that are told apart; lower ones count as the last.
+	meterPriorities = 8
 )
 
 // Meter measures how many requests of a service a VM starts per second. Only while others wait do the
@@ -29,8 +31,9 @@
 // slot is what was observed in one bucket of time.
 type slot struct {
 	bucket int64
-	// starts are all starts, and busyStarts those while requests waited, for the time of busy.
-	starts, busyStarts int
+	// starts are all starts by priority, and busyStarts those while requests waited, for the time of
+	// busy.
+	starts, busyStarts [meterPriorities]int
 	busy               time.Duration
 }
 
@@ -72,37 +75,51 @@
 	m.waiting = waiting
 }
 
-// Started counts a start.
-func (m *Meter) Started(now time.Duration) {
+func level(priority int) int { return min(max(priority, 0), meterPriorities-1) }
+
+// Started counts a start of a request with that priority.
+func (m *Meter) Started(now time.Duration, priority int) {
 	m.advance(now)
 	s := m.at(bucketOf(now))
-	s.starts++
+	s.starts[level(priority)]++
 	if m.waiting {
-		s.busyStarts++
+		s.busyStarts[level(priority)]++
 	}
 }
 
-// Rate returns the rate of the starts.
-func (m *Meter) Rate(now time.Duration) Rate {
+// Rate returns the rate of the starts that a request of that priority may get: more urgent ones that
+// arrive later take theirs first.
+func (m *Meter) Rate(now time.Duration, priority int) Rate {
 	m.advance(now)
 	var all slot
 	for _, s := range m.slots {
 		if age := bucketOf(now) - s.bucket; age >= 0 && age < meterSlots {
-			all.starts, all.busyStarts, all.busy = all.starts+s.starts, all.busyStarts+s.busyStarts, all.busy+s.busy
+			all.busy += s.busy
+			for i := range s.starts {
+				all.starts[i] += s.starts[i]
+				all.busyStarts[i] += s.busyStarts[i]
+			}
 		}
 	}
 	if all.busy >= minObserved {
-		return newRate(all.busyStarts, all.busy, true)
+		return newRate(all.busyStarts, priority, all.busy, true)
 	}
-	return newRate(all.starts, meterSlots*BucketWidth, false)
+	return newRate(all.starts, priority, meterSlots*BucketWidth, false)
 }
 
-// Overloaded reports whether requests waited recently for long enough to show the capacity.
-func (m *Meter) Overloaded(now time.Duration) bool { return m.Rate(now).Certain }
-
-// newRate returns the rate of starts that were counted. The standard deviation of a count is about its
-// root; one start may have been missed at either end.
-func newRate(starts int, span time.Duration, certain bool) Rate {
-	n, seconds := float64(starts), span.Seconds()
-	return Rate{PerSecond: max(n/seconds, minRate), Upper: max((n+math.Sqrt(n)+1)/seconds, minRate), Certain: certain}
+// newRate returns the rate of starts that were counted, for a priority. The standard deviation of a
+// count is about its root; one start may have been missed at either end.
+func newRate(starts [meterPriorities]int, priority int, span time.Duration, certain bool) Rate {
+	total, n := 0.0, 0.0
+	for i, count := range starts {
+		total += float64(count)
+		if i >= level(priority) {
+			n += float64(count)
+		}
+	}
+	seconds, lowest := span.Seconds(), 0.0
+	if total/seconds < minRate {
+		lowest = minRate
+	}
+	return Rate{PerSecond: max(n/seconds, lowest), Upper: max((n+math.Sqrt(n)+1)/seconds, lowest), Certain: certain}
 }
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -6,6 +6,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
@@ -48,6 +49,8 @@
 	// keys are the promised keys of all reports as of keysAt.
 	keys   map[string][]promise.Due
 	keysAt time.Duration
+	// demand is what VMs are told of the demand of all.
+	demand overallDemand
 	// nextExpiry is the earliest time at which a part of a report may expire.
 	nextExpiry time.Duration
 	// window is the window of the retry budget.
@@ -272,7 +275,7 @@
 		Full: h.full.except(reporter{vm, true}.key()),
 		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
 		Rates:   h.rates.newest(),
-		Overall: h.overall(),
+		Overall: h.overall(now),
 		// So it is with a VM's own keys.
 		Promises: h.promises.reports(now, h.vms[vm], h.promisedKeys(now)),
 	}
@@ -307,6 +310,10 @@
 	Elsewhere bool
 	// Known is what the VM has after the update.
 	Known LoadVersions
+	// Demand is the demand for the VM to apply: of all services if DemandComplete is set, and otherwise
+	// of those that are short of capacity.
+	Demand         *demand.Overall
+	DemandComplete bool
 }
 
 // Update returns what changed for a VM since its last update. elsewhere includes the servers of other
@@ -315,5 +322,9 @@
 	update := Update{Others: h.withoutLoads(now, vm)}
 	update.Loads, update.Complete, update.Known = h.log.since(known, elsewhere)
 	update.Elsewhere = elsewhere || update.Complete
+	update.Demand, update.DemandComplete = h.demand.short, update.Elsewhere
+	if update.DemandComplete {
+		update.Demand = h.demand.all
+	}
 	return update
 }
--- a/internal/edge/saturation_test.go
+++ b/internal/edge/saturation_test.go
@@ -12,6 +12,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/vmlimits"
 	"oleandershunt.example/oleandershunt/internal/edge"
+	"oleandershunt.example/oleandershunt/internal/testutil/cutlink"
 )
 
 // memoryLimit is a limit whose usage a test sets.
@@ -154,3 +155,21 @@
 	}, "10s", "1ms").Should(Equal("vm_busy"))
 	r.Eventually(func() int { return r.status("/plain/c", "r3") }, "5s", "100ms").Should(Equal(http.StatusOK))
 }
+
+// Guards against a VM that has lost its paths to servers and can't serve any more, since the VM in
+// between is saturated and ends its tunnels or opens none.
+func TestSaturatedVMCarriesTunnels(t *testing.T) {
+	store := newMemoryStore()
+	store.set("config", "main", table(1))
+	between, use := limited(t, store, "vm-1", "", 1)
+	link := cutlink.New()
+	cut := newLinkedVM(t, "vm-2", store, between.settings.PeerAddress, link)
+	between.server("s1", func(w http.ResponseWriter, request *http.Request) { sign(w, request) })
+	cut.callUntilOK("/plain/a", "r1").Body.Close()
+	use.memory.Store(memoryLimit)
+	between.Eventually(func() int { return between.status("/plain/b", "r2") }, "5s").Should(Equal(http.StatusServiceUnavailable))
+	link.Set(cutlink.Silent)
+	cut.Eventually(func() int { return cut.status("/plain/c", "r3") }, "10s").Should(Equal(http.StatusOK))
+	reason, _, _ := between.refusal("/plain/d", "r4")
+	between.Expect(reason).To(Equal("vm_busy"))
+}
--- a/internal/edge/tally_bench_test.go
+++ b/internal/edge/tally_bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"runtime"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/tally"
 	tallyv1 "oleandershunt.example/oleandershunt/internal/peer/gen/peer/tally/v1"
 )
@@ -110,3 +112,115 @@
 		loads[server()] = backends.Usage{Memory: float64(random.IntN(60)) * tally.LoadUnit, Running: random.IntN(2)}
 	}
 }
+
+// demandSize is a deployment with so many VMs in one data centre of five, and accounts.
+type demandSize struct{ vms, accounts, services, short int }
+
+// BenchmarkHubDemand plays the demand that a hub adds up for a second: each VM reports four times what
+// 34 requests of random accounts ask of random services, and four other data centres report their
+// sums. Requests wait for some services. It reports the bytes of one report's and one answer's demand,
+// and the accounts and summaries that the hub holds.
+func BenchmarkHubDemand(b *testing.B) {
+	for _, size := range []demandSize{{197, 31_000, 35, 0}, {197, 31_000, 35, 4}, {197, 31_000, 35, 35}, {400, 31_000, 35, 0}, {400, 31_000, 35, 4}, {400, 31_000, 35, 35}} {
+		b.Run(fmt.Sprintf("vms=%d/accounts=%d/short=%d", size.vms, size.accounts, size.short), func(b *testing.B) {
+			h := newDemandLoad(size)
+			h.playRound(b)
+			before, held := h.bytes, heapBytes()
+			for b.Loop() {
+				h.playRound(b)
+			}
+			reports := float64(b.N) * float64(size.vms)
+			b.ReportMetric(b.Elapsed().Seconds()/reports*1e6, "µs/report")
+			b.ReportMetric(float64(h.bytes.report-before.report)/reports, "B/report")
+			b.ReportMetric(float64(h.bytes.answer-before.answer)/reports, "B/answer")
+			b.ReportMetric(float64(held)/1e6, "MB/heap")
+		})
+	}
+}
+
+// demandLoad is a hub with the demand that its VMs and the other hubs report.
+type demandLoad struct {
+	demandSize
+	hub    *tallyExchanger
+	random *rand.Rand
+	now    time.Duration
+	known  []*tallyv1.Known
+	// vmReports and remoteReports are those of three rounds, made before the measurement.
+	vmReports     [][]*tallyv1.Tally
+	remoteReports [][]*tallyv1.Tally
+	round         int
+	bytes         struct{ report, answer int }
+}
+
+const demandRounds = 3
+
+func newDemandLoad(size demandSize) *demandLoad {
+	h := &demandLoad{
+		demandSize: size, random: rand.New(rand.NewPCG(1, 1)), now: time.Second, known: make([]*tallyv1.Known, size.vms),
+		hub: &tallyExchanger{self: "vm-0", dataCentre: "a", hub: tally.NewHub("a", 1, func(string) bool { return true }), proof: newProofTracker(), reachability: newReachabilityTracker()},
+	}
+	for i := range h.known {
+		h.known[i] = &tallyv1.Known{}
+	}
+	for range demandRounds {
+		vms, remote := make([]*tallyv1.Tally, size.vms), make([]*tallyv1.Tally, 4)
+		for i := range vms {
+			vms[i] = encodeTally(tally.Tally{VMs: 1, Demand: h.report()}, 0)
+		}
+		for i := range remote {
+			sums := demand.NewSums()
+			for range size.vms {
+				sums.Replace(demand.Report{}, h.report())
+			}
+			remote[i] = encodeTally(tally.Tally{VMs: size.vms, Demand: sums.Report()}, 0)
+		}
+		h.vmReports, h.remoteReports = append(h.vmReports, vms), append(h.remoteReports, remote)
+	}
+	return h
+}
+
+// report returns the demand of a VM that got 34 requests in the last second.
+func (h *demandLoad) report() demand.Report {
+	counter := demand.NewCounter()
+	for range 34 {
+		service := h.random.IntN(h.services)
+		key := demand.Key{Service: fmt.Sprint("service-", service), Priority: h.random.IntN(3)}
+		work := 50 + 1000*h.random.Float64()
+		counter.Offered(0, key, fmt.Sprint("account-", h.random.IntN(h.accounts)), work)
+		if service < h.short {
+			counter.Refused(0, key, work)
+		} else {
+			counter.Started(0, key, work)
+		}
+	}
+	return counter.Report(0)
+}
+
+// playRound lets the other hubs and all VMs report once.
+func (h *demandLoad) playRound(b *testing.B) {
+	h.now += tallyInterval
+	round := h.round % demandRounds
+	h.round++
+	for i, report := range h.remoteReports[round] {
+		h.hub.hub.ReportRemote(h.now, fmt.Sprint("data-centre-", i), decodeTally(report, h.now))
+	}
+	for i, report := range h.vmReports[round] {
+		request := &tallyv1.TellRequest{Vm: fmt.Sprint("vm-", i), Process: 1, Tally: report, Known: h.known[i], Elsewhere: (h.round+i)%elsewhereRounds == 0}
+		answer := h.hub.answer(h.now, request, decodeTally(report, h.now))
+		h.known[i] = answer.Known
+		data, err := proto.Marshal(&tallyv1.TellResponse{Demand: answer.Demand, DemandByDataCentre: answer.DemandByDataCentre, HeavyHitters: answer.HeavyHitters})
+		if err != nil {
+			b.Fatal(err)
+		}
+		h.bytes.report += proto.Size(&tallyv1.Tally{Demand: report.Demand, HeavyHitters: report.HeavyHitters})
+		h.bytes.answer += len(data)
+	}
+}
+
+// heapBytes returns the bytes in use on the heap.
+func heapBytes() uint64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
--- a/internal/edge/tallydemand.go
+++ b/internal/edge/tallydemand.go
@@ -81,6 +81,35 @@
 	return int64(min(column[row], maxReported))
 }
 
+// demandMessages keeps the messages of the demand that VMs were told last, since all get the same for a
+// moment.
+type demandMessages struct {
+	complete, short demandMessage
+}
+
+// demandMessage is the message of a demand. It is shared by responses and must not be changed.
+type demandMessage struct {
+	of      *demand.Overall
+	message *tallyv1.TellResponse
+}
+
+// addTo adds demand to a response.
+func (d *demandMessages) addTo(to *tallyv1.TellResponse, overall *demand.Overall, complete bool) {
+	to.DemandComplete = complete
+	if overall == nil {
+		return
+	}
+	last := &d.short
+	if complete {
+		last = &d.complete
+	}
+	if last.of != overall {
+		*last = demandMessage{overall, &tallyv1.TellResponse{}}
+		addOverall(last.message, overall)
+	}
+	to.Demand, to.DemandByDataCentre, to.HeavyHitters = last.message.Demand, last.message.DemandByDataCentre, last.message.HeavyHitters
+}
+
 // addOverall adds the demand of all VMs to a response.
 func addOverall(to *tallyv1.TellResponse, overall *demand.Overall) {
 	if overall == nil {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -53,7 +53,7 @@
 	// none.
 	target, gapTarget time.Duration
 	start             time.Duration
-	// first is set for the first attempt of a request.
+	// first is set until a server was chosen for the request.
 	first bool
 	// shareMark is the mark of the request, of which work is given back if it doesn't start.
 	shareMark share.Mark
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -214,12 +214,12 @@
 	case head.Signals.Pause > 0:
 		// The server gave the length of the pause itself and may take the request afterwards.
 	case len(o.choice.Path) == 0:
-		h.Dispatcher.markFull(faulty)
+		h.Dispatcher.markFull(x.service, faulty)
 		x.avoid = append(x.avoid, faulty)
 	default:
 		// The server may have capacity again while the request waits, and there may be no other
 		// server with its layers.
-		h.Dispatcher.markFull(faulty)
+		h.Dispatcher.markFull(x.service, faulty)
 	}
 	telemetry.RelayAttemptRefused.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "blamed", faulty,
 		"status", o.response.StatusCode, "pauseMs", max(head.Signals.Pause, 0).Milliseconds(), "path", o.choice.Path.String())...)
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -63,7 +63,7 @@
 // would use up the shared retry budget and take time from the streams that run there.
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
 	start := time.Now()
-	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: x.sends == 0, shareMark: x.shareMark}
+	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark}
 	if x.route.Stream {
 		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
 	}
@@ -86,6 +86,7 @@
 		x.detail = h.Dispatcher.describe(w)
 		return nil, result.err
 	}
+	x.startCounted = true
 	ctx, cancel := context.WithCancelCause(x.ctx)
 	return &openAttempt{choice: result.choice, sentTo: result.choice, load: result.load, pace: result.pace, ctx: ctx, cancel: cancel}, nil
 }
@@ -150,6 +151,8 @@
 func (h *Handler) choiceRequest(x *exchange) backends.Request {
 	if x.preferred == "" {
 		x.preferred = h.Dispatcher.drawDataCentre(x.service.Name, h.DataCentre)
+	} else if x.preferred != h.DataCentre && !h.Dispatcher.reaches(x.preferred) {
+		x.preferred = h.DataCentre
 	}
 	request := backends.Request{DataCentre: h.DataCentre, Preferred: x.preferred, Avoid: x.avoid, Prompt: float64(x.call.PromptTokens)}
 	if x.allowed != nil {
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -14,13 +14,10 @@
 	"oleandershunt.example/oleandershunt/internal/core/share"
 )
 
-// demandState is what the dispatcher knows of the demand for services, and the shares that follow.
+// demandState is the demand that reaches this VM, and the shares of its accounts.
 type demandState struct {
 	counter *demand.Counter
 	shares  *share.Shares
-	// overall is the demand of all VMs as of overallAt; nil if it isn't known.
-	overall   *demand.Overall
-	overallAt time.Duration
 }
 
 func newDemandState() demandState {
@@ -103,16 +100,15 @@
 	return d.demand.counter.Report(d.now())
 }
 
-// setOverall sets the demand of all VMs, nil if it isn't known, and divides the services anew. It must
-// be called with the lock held.
-func (d *Dispatcher) setOverall(overall *demand.Overall) {
+// divideServices divides the services anew by the demand of all VMs, or by this VM's if overall is nil.
+// It must be called with the lock held.
+func (d *Dispatcher) divideServices(overall *demand.Overall) {
 	now := d.now()
-	d.demand.overall, d.demand.overallAt = overall, now
 	local := d.demand.counter.Report(now)
 	totals := demand.Totals(local.Counts)
 	d.demand.shares.Retain(totals)
 	var all map[string]demand.Counts
-	if overall != nil {
+	if overall != nil && len(totals) > 0 {
 		all = demand.Totals(overall.Counts)
 	}
 	for service, counts := range totals {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -213,9 +213,9 @@
 	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
-	d.setOverall(others.Overall)
 	d.calendar.SetRemotes(d.now(), others.Promises)
 	d.applyDemand(others.Overall)
+	d.divideServices(others.Overall)
 	d.wakeLocked()
 }
 
@@ -239,7 +239,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.fleet.SetDemand(d.now(), nil)
-	d.setOverall(nil)
+	d.divideServices(nil)
 }
 
 // ServerIn reports whether a server is in a data centre. It is false for a known server of another
@@ -344,10 +344,14 @@
 	return d.fleet.SlowServers(d.now(), maxPaceReportAge)
 }
 
-// markFull records that a server had no capacity.
-func (d *Dispatcher) markFull(id string) {
+// markFull records that a server of a service had no capacity.
+func (d *Dispatcher) markFull(service routes.Service, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if service.Engine != nil {
+		d.fleet.RecordNoMemory(d.now(), id, service.Engine)
+		return
+	}
 	d.fleet.MarkFull(d.now(), id)
 }
 
--- a/internal/relay/division.go
+++ b/internal/relay/division.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -17,6 +18,9 @@
 	divider division.Divider
 	// home is the VM's data centre.
 	home string
+	// capacities are those of all services as of capacitiesAt.
+	capacities   map[string]division.ServiceCapacity
+	capacitiesAt time.Duration
 	// changes are the services that started or stopped to be divided since the last call of
 	// TakeDivisionChanges.
 	changes []division.Change
@@ -72,23 +76,37 @@
 	return services
 }
 
+// capacityInterval is the interval at which the capacities are calculated while nothing is divided: an
+// idle VM must not go through thousands of servers with each tally.
+const capacityInterval = time.Second
+
 // divide makes a new plan. It must be called with the lock held.
 func (d *Dispatcher) divide(byDataCentre map[string]map[string]division.Demand) {
 	if d.table == nil {
 		return
 	}
-	now := d.now()
+	s, now := &d.division, d.now()
+	refresh := s.capacities == nil || s.divider.Divides() || now-s.capacitiesAt >= capacityInterval
+	if refresh {
+		s.capacities, s.capacitiesAt = d.fleet.Capacities(now, d.services()), now
+	}
+	s.changes = append(s.changes, s.divider.Update(now, division.Observation{
+		Home: s.home, Demand: byDataCentre, Capacities: s.capacities, Unreachable: d.fleet.Unreachable(now),
+	})...)
+	if refresh {
+		s.setGauges(now)
+	}
+}
+
+// services returns the services of the configuration in force. It must be called with the lock held.
+func (d *Dispatcher) services() []routes.Service {
 	var services []routes.Service
 	for _, name := range d.table.ServiceNames() {
 		if service, ok := d.table.Service(name); ok {
 			services = append(services, service)
 		}
 	}
-	s := &d.division
-	s.changes = append(s.changes, s.divider.Update(now, division.Observation{
-		Home: s.home, Demand: byDataCentre, Capacities: d.fleet.Capacities(now, services), Unreachable: d.fleet.Unreachable(now),
-	})...)
-	s.setGauges(now)
+	return services
 }
 
 // setGauges sets the metrics of the plan and its inputs in this data centre.
@@ -116,6 +134,13 @@
 	return d.division.divider.Exceeds(d.now(), service, d.division.home)
 }
 
+// reaches reports whether a data centre isn't known to be unreachable.
+func (d *Dispatcher) reaches(dataCentre string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !slices.Contains(d.fleet.Unreachable(d.now()), dataCentre)
+}
+
 // drawDataCentre draws the data centre in which a request is to start.
 func (d *Dispatcher) drawDataCentre(service, home string) string {
 	d.mu.Lock()
--- a/internal/relay/division_test.go
+++ b/internal/relay/division_test.go
@@ -110,6 +110,20 @@
 	choice, err := r.d.preview(r.service, r.handler.choiceRequest(x))
 	r.Expect(err).NotTo(HaveOccurred())
 	r.Expect(choice.First.DataCentre).To(Equal("b"))
+	r.d.SetUnreachable([]string{"b"})
+	r.Expect(r.handler.choiceRequest(x).Preferred).To(Equal("a"), "its data centre was lost")
+}
+
+// Guards against a plan by capacities that were calculated before a server was lost.
+func TestCapacityIsCalculatedAnew(t *testing.T) {
+	r := newDivisionRig(t, divisionEngine())
+	r.tell(0.8)
+	r.d.WithFleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Suspect(now, "b1", time.Minute) })
+	for range 12 {
+		r.now += 250 * time.Millisecond
+		r.tell(1.8)
+	}
+	r.Expect(r.preferredElsewhere()).To(BeZero(), "no server is left elsewhere")
 }
 
 // Guards against requests that are sent to a lost data centre, or by an old plan once the hub is lost
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -129,7 +129,9 @@
 	account routes.Account
 	// shareMark says how the request stands to its account's share of the service.
 	shareMark share.Mark
-	body      []byte
+	// startCounted says that a server was chosen for the request, which counts as its start.
+	startCounted bool
+	body         []byte
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
 	// contents are what the request has in common with others that may crash servers. claim
--- a/internal/relay/promises.go
+++ b/internal/relay/promises.go
@@ -65,7 +65,7 @@
 	if w.key == 0 || w.item.Claimed || ahead == 0 || !errors.Is(w.err, backends.ErrFull) {
 		return false
 	}
-	rate := q.meter.Rate(now)
+	rate := q.meter.Rate(now, w.item.Priority)
 	if !rate.Certain || d.calendar.Forecast(now, q.service, ahead, rate.Upper) <= w.expiry() {
 		return false
 	}
@@ -75,7 +75,7 @@
 
 // recordStart records that a request of a service starts. It must be called with the lock held.
 func (d *Dispatcher) recordStart(now time.Duration, w *waiter) {
-	d.admissionQueue(w.service.Name).meter.Started(now)
+	d.admissionQueue(w.service.Name).meter.Started(now, w.item.Priority)
 	if w.due == 0 {
 		return
 	}
@@ -117,7 +117,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now, q := d.now(), d.admissionQueue(service)
-	r := returnTime{ahead: q.queue.Ahead(now, item), rate: q.meter.Rate(now)}
+	r := returnTime{ahead: q.queue.Ahead(now, item), rate: q.meter.Rate(now, item.Priority)}
 	r.forecast = d.calendar.Forecast(now, service, r.ahead, r.rate.PerSecond) - now
 	request.Ahead = r.ahead
 	r.in, r.ok = d.calendar.Promise(now, service, request, r.rate.PerSecond, rand.Float64())
@@ -154,7 +154,7 @@
 		put(service, 0)
 	}
 	for service, q := range d.queues {
-		if rate := q.meter.Rate(now); rate.Certain {
+		if rate := q.meter.Rate(now, 0); rate.Certain {
 			put(service, rate.PerSecond)
 		}
 	}
