Learn the loads of other data centres in each round while requests start there

Cause: servers in other data centres were known to be idle from up to 1.5 s before. The VMs of all other data centres filled them together: reports showed 0.88 of the memory used where a VM knew of 0.05. A busy server that refused late counted as unresponsive for 4 s, and after each rejection as full for up to 1.6 s.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -67,8 +67,6 @@
 	remoteFullUntil time.Duration
 	// fullBackoff is how long the server last counted as full.
 	fullBackoff time.Duration
-	// learned is how much of the server's memory may be reserved.
-	learned learnedLimit
 	// unresponsiveUntil is until when the server counts as unresponsive, as reported by another
 	// server.
 	unresponsiveUntil time.Duration
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -198,7 +198,7 @@
 	}
 	memory := (request.Prompt + request.Answer) * float64(held.Layers.Len())
 	// An idle server has capacity for a request of any size: it rejects one that is too large itself.
-	return f.memoryUsed(s) == 0 || f.expectedMemory(s)+memory <= s.learned.usable(now)*s.requestCapacity(engine, held)
+	return f.memoryUsed(s) == 0 || f.expectedMemory(s)+memory <= overcommitFactor*s.requestCapacity(engine, held)
 }
 
 // versions returns the versions of the weights, newest first.
--- a/internal/core/backends/slots.go
+++ b/internal/core/backends/slots.go
@@ -64,3 +64,12 @@
 	}
 	return s.localUsage.Running + f.remoteUsage[s.ID].Running
 }
+
+// SlotUtilisation returns the fraction of a server's slots that is in use, as far as this VM knows.
+func (f *Fleet) SlotUtilisation(id string) float64 {
+	s, ok := f.servers[id]
+	if !ok || s.Slots <= 0 {
+		return 0
+	}
+	return float64(f.expectedRunning(s)) / float64(s.Slots)
+}
--- a/internal/core/division/divider.go
+++ b/internal/core/division/divider.go
@@ -143,11 +143,6 @@
 // Divides reports whether the last plan divides any service.
 func (d *Divider) Divides() bool { return len(d.plan.shares) > 0 }
 
-// Exceeds reports whether the demand of a data centre exceeds its capacity now.
-func (d *Divider) Exceeds(now time.Duration, service, dataCentre string) bool {
-	return d.planned && now-d.madeAt <= planTTL && excess(d.services[service].Sites[dataCentre]) > 0
-}
-
 // Services returns the inputs of the last plan. They must not be changed.
 func (d *Divider) Services() map[string]Service { return d.services }
 
--- a/internal/core/spread/capacity.go
+++ b/internal/core/spread/capacity.go
@@ -19,21 +19,11 @@
 
 // layerStates returns the state of each layer. Lost servers count, because their place is kept.
 func (p *planner) layerStates() []layerState {
-	return p.statesOf(func(Server) float64 { return 1 })
-}
-
-// freeLayerStates is layerStates with only the capacity that isn't in use.
-func (p *planner) freeLayerStates() []layerState {
-	return p.statesOf(func(s Server) float64 { return 1 - min(max(s.Utilization, 0), 1) })
-}
-
-// statesOf returns the state of each layer, with a fraction of each server's capacity.
-func (p *planner) statesOf(fraction func(Server) float64) []layerState {
 	states := make([]layerState, p.engine.Layers)
 	for _, s := range p.servers {
-		capacity, part := p.capacity(s, s.planned()), fraction(s)
-		addToLayers(states, s.planned(), layerState{part * capacity, 1})
-		addToLayers(states, s.planned().Overlap(firstLayer), layerState{part * (p.firstLayerCapacity(s, capacity) - capacity), 0})
+		capacity := p.capacity(s, s.planned())
+		addToLayers(states, s.planned(), layerState{capacity, 1})
+		addToLayers(states, s.planned().Overlap(firstLayer), layerState{p.firstLayerCapacity(s, capacity) - capacity, 0})
 	}
 	return states
 }
@@ -57,11 +47,7 @@
 // weakestWindow returns the range of the given length with the highest deficit among those that
 // fits accepts.
 func (p *planner) weakestWindow(length int, fits func(api.Layers) bool) api.Layers {
-	return weakestOf(p.layerStates(), length, fits)
-}
-
-// weakestOf is weakestWindow for the given layers.
-func weakestOf(layers []layerState, length int, fits func(api.Layers) bool) api.Layers {
+	layers := p.layerStates()
 	length = min(length, len(layers))
 	var best api.Layers
 	highest := -1.0
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -46,26 +46,10 @@
 	if orders, ok := initialOrders(engine, servers); ok {
 		return orders
 	}
-	return plan(planner{engine: engine, servers: slices.Clone(servers)})
-}
-
-// PlanUnderDemand is Plan while demand exceeds the capacity of the data centre: the remaining empty
-// servers take the layers with the least free capacity. Every layer has the same demand, so these
-// have the lowest ratio of free capacity to demand. It orders the same servers to load as many layers
-// as Plan.
-func PlanUnderDemand(engine *routes.Engine, servers []Server) []Order {
-	if orders, ok := initialOrders(engine, servers); ok {
-		return orders
-	}
-	return plan(planner{engine: engine, servers: slices.Clone(servers), byFree: true})
-}
-
-// plan returns the orders for servers that hold other layers than the initial layout.
-func plan(p planner) []Order {
-	servers := slices.Clone(p.servers)
+	p := planner{engine: engine, servers: slices.Clone(servers)}
 	p.coverMissing()
 	if slices.Contains(p.copyCounts(anyWait), 0) {
-		return MigrationOrders(p.engine, servers)
+		return MigrationOrders(engine, servers)
 	}
 	p.fillEmpty()
 	p.relieveOverfilled()
@@ -101,8 +85,6 @@
 	engine  *routes.Engine
 	servers []Server
 	orders  []Order
-	// byFree lets empty servers take the layers with the least free capacity.
-	byFree bool
 }
 
 // anyWait makes every load count as cover, however long it takes.
@@ -219,11 +201,7 @@
 	}
 	slices.SortStableFunc(empty, func(a, b int) int { return cmp.Compare(p.servers[a].Card.Pace, p.servers[b].Card.Pace) })
 	for _, at := range empty {
-		layers := p.layerStates()
-		if p.byFree {
-			layers = p.freeLayerStates()
-		}
-		p.assign(at, weakestOf(layers, p.targetLayers(p.servers[at].Card), anyWindow))
+		p.assign(at, p.weakestWindow(p.targetLayers(p.servers[at].Card), anyWindow))
 	}
 }
 
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -100,6 +100,9 @@
 		w.err = forecastError{}
 		return admission{err: w.err}, ahead, true
 	}
+	if w.service.Engine != nil && errors.Is(w.err, backends.ErrFull) {
+		d.elsewhereAt = now
+	}
 	d.requestID++
 	w.item.ID, w.item.Expiry, w.admitted = d.requestID, w.expiry(), make(chan admission, 1)
 	q.queue.Push(now, w.item)
@@ -138,6 +141,9 @@
 	if err != nil {
 		return admission{err: err}
 	}
+	if w.service.Engine != nil && choice.First.DataCentre != w.request.DataCentre {
+		d.elsewhereAt = now
+	}
 	load := choice.Load(w.request.Prompt + w.request.Answer)
 	d.fleet.AddLoad(load)
 	d.fleet.CountSent(now, choice)
@@ -156,6 +162,18 @@
 	return q
 }
 
+// elsewherePeriod is how long after a request found no capacity in its own data centre this VM needs the
+// loads of servers in others.
+const elsewherePeriod = time.Second
+
+// NeedsLoadsElsewhere reports whether requests may start in other data centres, so that this VM needs
+// to know the loads there: lately some waited for capacity or started elsewhere.
+func (d *Dispatcher) NeedsLoadsElsewhere() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.elsewhereAt != 0 && d.now() < d.elsewhereAt+elsewherePeriod
+}
+
 // wakeLocked schedules a pass over the queues since capacity may have become available. It must be
 // called with the lock held.
 func (d *Dispatcher) wakeLocked() {
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -206,7 +206,7 @@
 		// Another process listens at the address, or the server dropped the layers.
 		h.Dispatcher.suspect(faulty, suspectMisdirected)
 		x.avoid = append(x.avoid, faulty)
-	case elapsed >= slowRefusal:
+	case elapsed >= slowRefusal && !h.Dispatcher.explainsRefusal(x.service, faulty, o.choice):
 		// The request may also have queued that long before the faulty server dropped the
 		// layers, so a slow refusal doesn't prove that the server is unresponsive.
 		h.Dispatcher.markUnresponsive(faulty, false)
@@ -221,7 +221,8 @@
 		// server with its layers.
 		h.Dispatcher.markFull(x.service, faulty)
 	}
-	telemetry.RelayAttemptRefused.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "blamed", faulty,
+	memory, slots := h.Dispatcher.capacityInUse(x.service, faulty, o.choice)
+	telemetry.RelayAttemptRefused.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "blamed", faulty, "memoryUsed", memory, "slotsUsed", slots,
 		"status", o.response.StatusCode, "pauseMs", max(head.Signals.Pause, 0).Milliseconds(), "path", o.choice.Path.String())...)
 	return notExecuted
 }
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -37,6 +37,9 @@
 	// queues are the requests that wait for capacity, by service. requestID is the last ID in them.
 	queues    map[string]*admissionQueue
 	requestID uint64
+	// elsewhereAt is when a request of a service of models last began to wait for capacity or started in
+	// another data centre; 0 if none did.
+	elsewhereAt time.Duration
 	// limiters are the limits on streams by service.
 	limiters map[string]*serviceLimiter
 	demand   demandState
@@ -355,6 +358,21 @@
 	d.fleet.MarkFull(d.now(), id)
 }
 
+// capacityInUse returns the fractions in use, as far as this VM knows, of a server's memory and of the
+// slots of the first server of a choice.
+func (d *Dispatcher) capacityInUse(service routes.Service, id string, choice backends.Choice) (memory, slots float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.MemoryUtilisation(service.Engine, id), d.fleet.SlotUtilisation(choice.First.ID)
+}
+
+// explainsRefusal reports whether a server may have refused a request late because it waited for memory
+// or for a slot.
+func (d *Dispatcher) explainsRefusal(service routes.Service, id string, choice backends.Choice) bool {
+	memory, slots := d.capacityInUse(service, id, choice)
+	return max(memory, slots) >= backends.BusyFraction
+}
+
 // draining reports whether a server is draining and gets no new requests.
 func (d *Dispatcher) draining(id string) bool {
 	d.mu.Lock()
--- a/internal/relay/division.go
+++ b/internal/relay/division.go
@@ -126,14 +126,6 @@
 	metrics.GetOrCreateGauge(fmt.Sprintf("%s{service=%q}", name, service), nil).Set(value)
 }
 
-// DemandExceedsCapacity reports whether the demand for a service in the VM's data centre exceeds its
-// capacity there.
-func (d *Dispatcher) DemandExceedsCapacity(service string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.division.divider.Exceeds(d.now(), service, d.division.home)
-}
-
 // reaches reports whether a data centre isn't known to be unreachable.
 func (d *Dispatcher) reaches(dataCentre string) bool {
 	d.mu.Lock()
