Show operators the admission of requests

Change: oleandershunt admission URL and the path /admission of the operations address show queues, limits, shares, promises, the division and the VM's own limits. Events 4230 and 4231 frame each time in which requests wait.

--- a/cmd/oleandershunt/main.go
+++ b/cmd/oleandershunt/main.go
@@ -24,9 +24,10 @@
 	Dev     devCommand     `cmd:"" help:"Run everything in one process on loopback, with stand-ins."`
 	Replay  replayCommand  `cmd:"" help:"Replay recorded traces and compare every stated outcome."`
 
-	Account accountCommand `cmd:"" help:"Add up what VMs' logs say of requests not served or late, by moment and cause."`
-	Load    loadCommand    `cmd:"" help:"Offer requests at a rate, check every answer and report what callers see."`
-	Standin standinCommand `cmd:"" help:"Run a stand-in of one of the systems that the router serves."`
+	Admission admissionCommand `cmd:"" help:"Show what decides on the admission of requests on a VM that forwards them."`
+	Account   accountCommand   `cmd:"" help:"Add up what VMs' logs say of requests not served or late, by moment and cause."`
+	Load      loadCommand      `cmd:"" help:"Offer requests at a rate, check every answer and report what callers see."`
+	Standin   standinCommand   `cmd:"" help:"Run a stand-in of one of the systems that the router serves."`
 
 	recordCommands
 }
--- a/internal/core/promise/calendar.go
+++ b/internal/core/promise/calendar.go
@@ -123,6 +123,20 @@
 	}
 }
 
+// Outstanding returns the number of this VM's promises that callers can still claim. It changes nothing.
+func (c *Calendar) Outstanding(now time.Duration, service string) (promises int) {
+	s, ok := c.services[service]
+	if !ok {
+		return 0
+	}
+	for _, due := range s.own {
+		if now <= due+latest {
+			promises++
+		}
+	}
+	return promises
+}
+
 // drop removes one of this VM's promises.
 func (s *schedule) drop(key Key) {
 	due, ok := s.own[key]
--- a/internal/edge/saturation_test.go
+++ b/internal/edge/saturation_test.go
@@ -33,13 +33,13 @@
 }
 
 // limited starts a VM with a limit, whose usage is returned.
-func limited(t *testing.T, store *memoryStore, name, seed string, cores float64) (*rig, *usage) {
+func limited(t *testing.T, store *memoryStore, name, seed string, cores float64, changes ...func(*edge.Settings)) (*rig, *usage) {
 	u := new(usage)
 	t.Cleanup(func() { u.silence.Store(false) })
 	vm := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: &storeConn{memoryStore: store}, engines: withoutEngines, readUsage: u.read}
-	vm.changes = []func(*edge.Settings){func(s *edge.Settings) {
+	vm.changes = append([]func(*edge.Settings){func(s *edge.Settings) {
 		s.Cores, s.Limits = cores, vmlimits.Limits{MemoryMB: memoryLimit}
-	}}
+	}}, changes...)
 	vm.startOnFreePorts(name, seed)
 	vm.Eventually(vm.ready, "5s").Should(Equal(http.StatusOK))
 	return vm, u
--- a/internal/edge/sharelog_test.go
+++ b/internal/edge/sharelog_test.go
@@ -31,6 +31,7 @@
 		l.record(log, map[string][]relay.Exceeded{"app": {{Service: "app", Account: fmt.Sprint(i % 2)}}})
 	}
 	ended := strings.Join(lines, "\n")
-	g.Expect(strings.Count(ended, "4228")).To(Equal(1), ended)
+	g.Expect(strings.Count(ended, "4228")).To(Equal(4), ended)
+	g.Expect(strings.Count(ended, "4229")).To(Equal(1), ended)
 	g.Expect(l.services).To(HaveLen(1), "services are forgotten")
 }
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -35,12 +35,15 @@
 	waiting map[uint64]*waiter
 	// meter measures the starts.
 	meter promise.Meter
-	// err is why the last request that was tried couldn't start.
-	err error
+	// err is why the last request that was tried couldn't start, and failedAt when it was tried.
+	err      error
+	failedAt time.Duration
 	// lastPass is when the queue was last processed, and nextPass when it will be; 0 if no pass is
 	// scheduled.
 	lastPass, nextPass time.Duration
 	timer              *time.Timer
+	// log decides when a log line on the queue is due.
+	log queueLog
 }
 
 // waiter is a request that waits for capacity.
@@ -61,8 +64,9 @@
 	key promise.Key
 	// due is the time at which the caller was promised to return, if it did; 0 if not.
 	due time.Duration
-	// err is why no server could be chosen at the last try.
-	err error
+	// err is why no server could be chosen at the last try, and tried is set once there was one.
+	err   error
+	tried bool
 	// admitted receives the result, once.
 	admitted chan admission
 }
@@ -73,6 +77,8 @@
 	load   backends.Load
 	pace   *attemptPace
 	err    error
+	// limitLogDue says that a log line on the limit in err is due.
+	limitLogDue bool
 }
 
 // expiry returns the latest start of the request after err, the reason why no server was chosen.
@@ -89,12 +95,14 @@
 	q := d.admissionQueue(w.service.Name)
 	d.claim(now, w)
 	ahead = q.queue.Ahead(now, w.item)
-	w.err = q.err // others are to start first
 	if ahead == 0 {
 		if result = d.tryStart(now, w); result.err == nil {
 			return result, 0, true
 		}
-		w.err, q.err = result.err, result.err
+		w.err = result.err
+		q.fail(now, result.err)
+	} else {
+		w.err = d.waitReason(q, w)
 	}
 	if d.startsTooLate(now, q, w, ahead) {
 		w.err = forecastError{}
@@ -108,9 +116,22 @@
 	q.queue.Push(now, w.item)
 	q.waiting[w.item.ID] = w
 	d.demand.counter.Queued(w.demandKey(), w.item.Work)
-	q.observeWaiting(now)
+	d.observeWaiting(now, q)
 	d.schedule(q, processInterval)
-	return admission{err: w.err}, ahead, false
+	return admission{err: w.err, limitLogDue: d.limitLogDue(now, w)}, ahead, false
+}
+
+// waitReason returns why a request waits that others are to start before. Unless those wait for
+// capacity, they may wait for a reason of their own, such as servers that failed them, which says
+// nothing about this request: its limits on waiting follow from its own choice.
+func (d *Dispatcher) waitReason(q *admissionQueue, w *waiter) error {
+	if errors.Is(q.err, backends.ErrFull) {
+		return q.err
+	}
+	if _, err := d.pickLocked(w.service, w.request); err != nil {
+		return err
+	}
+	return backends.ErrFull
 }
 
 // leave removes a request from its queue. If it was admitted meanwhile, its load is released.
@@ -121,7 +142,7 @@
 	if q.queue.Remove(w.item.ID) {
 		delete(q.waiting, w.item.ID)
 		d.demand.counter.Dequeued(w.demandKey(), w.item.Work)
-		q.observeWaiting(d.now())
+		d.observeWaiting(d.now(), q)
 		return
 	}
 	if result := <-w.admitted; result.err == nil {
@@ -133,6 +154,7 @@
 
 // tryStart chooses a server for a request and adds its load, if the limits of its service allow that.
 func (d *Dispatcher) tryStart(now time.Duration, w *waiter) admission {
+	w.tried = true
 	limiter := d.limiter(now, w.service)
 	if err := d.checkLimits(now, limiter, w); err != nil {
 		return admission{err: err}
@@ -208,17 +230,33 @@
 	defer d.mu.Unlock()
 	now := d.now()
 	q.lastPass, q.nextPass = now, 0
-	for _, item := range q.queue.Expired(now) {
-		d.admit(q, q.waiting[item.ID], admission{err: q.waiting[item.ID].err})
-	}
+	// Capacity that became available while a late pass was due goes to requests before they expire.
 	for d.startNext(now, q) {
 	}
-	q.observeWaiting(now)
+	for _, item := range q.queue.Expired(now) {
+		d.expire(now, q, q.waiting[item.ID])
+	}
+	d.observeWaiting(now, q)
 	d.schedule(q, processInterval)
 }
 
+// fail records why the last request that was tried couldn't start.
+func (q *admissionQueue) fail(now time.Duration, err error) { q.err, q.failedAt = err, now }
+
+// expire ends the wait of a request that may not start later. It is tried once if it never was: the
+// requests before it may wait for reasons of their own.
+func (d *Dispatcher) expire(now time.Duration, q *admissionQueue, w *waiter) {
+	result := admission{err: w.err}
+	if !w.tried {
+		result = d.tryStart(now, w)
+		w.err = result.err
+	}
+	d.admit(q, w, result)
+}
+
 // startNext starts the first request that can start, of the first few.
 func (d *Dispatcher) startNext(now time.Duration, q *admissionQueue) bool {
+	var reason error
 	for _, item := range q.queue.Next(now, maxTried) {
 		w := q.waiting[item.ID]
 		result := d.tryStart(now, w)
@@ -227,8 +265,14 @@
 			d.admit(q, w, result)
 			return true
 		}
-		w.err, q.err = result.err, result.err
+		w.err = result.err
 		q.queue.SetExpiry(item.ID, w.expiry())
+		if reason == nil || errors.Is(result.err, backends.ErrFull) {
+			reason = result.err
+		}
+	}
+	if reason != nil {
+		q.fail(now, reason)
 	}
 	return false
 }
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -73,7 +73,7 @@
 	}
 	result, ahead, admitted := h.Dispatcher.enter(w)
 	x.entered, x.claimed = true, w.item.Claimed
-	if limit := (*LimitError)(nil); errors.As(result.err, &limit) {
+	if limit := (*LimitError)(nil); result.limitLogDue && errors.As(result.err, &limit) {
 		h.logLimit(x, limit)
 	}
 	if !admitted {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -40,6 +40,8 @@
 	// elsewhereAt is when a request of a service of models last began to wait for capacity or started in
 	// another data centre; 0 if none did.
 	elsewhereAt time.Duration
+	// queueChanges are the log lines that are due on queues. Lines are dropped while it is full.
+	queueChanges chan queueChange
 	// limiters are the limits on streams by service.
 	limiters map[string]*serviceLimiter
 	demand   demandState
@@ -54,7 +56,8 @@
 func NewDispatcher(now func() time.Duration, retryBudget *budget.Budget) *Dispatcher {
 	return &Dispatcher{
 		now: now, fleet: backends.New(), budget: retryBudget, configured: make(chan struct{}), queues: make(map[string]*admissionQueue),
-		limiters: make(map[string]*serviceLimiter), demand: newDemandState(), calendar: promise.New(),
+		queueChanges: make(chan queueChange, maxQueueChanges),
+		limiters:     make(map[string]*serviceLimiter), demand: newDemandState(), calendar: promise.New(),
 	}
 }
 
--- a/internal/relay/division.go
+++ b/internal/relay/division.go
@@ -31,6 +31,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.division.home = name
+	d.fleet.SetDataCentre(name)
 }
 
 // SetDemandByDataCentre makes a new plan for the demand by data centre and service. A data centre
--- a/internal/relay/pacing.go
+++ b/internal/relay/pacing.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"errors"
 	"fmt"
 	"maps"
 	"time"
@@ -29,8 +30,6 @@
 	Service string
 	Limit   pace.Limit
 	State   pace.State
-	// logDue says that a log line on it is due.
-	logDue bool
 }
 
 // Error implements error.
@@ -111,10 +110,7 @@
 	if limit == pace.None {
 		return nil
 	}
-	err := &LimitError{Service: w.service.Name, Limit: limit, State: l.State(), logDue: now >= l.loggedAt+limitLogInterval}
-	if err.logDue {
-		l.loggedAt = now
-	}
+	err := &LimitError{Service: w.service.Name, Limit: limit, State: l.State()}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_limited_total{service=%q,limit=%q}", w.service.Name, limit)).Inc()
 	return err
 }
@@ -200,11 +196,19 @@
 	p.limiter.updateMetrics()
 }
 
-// logLimit logs that a limit began to prevent requests from being sent.
-func (h *Handler) logLimit(x *exchange, err *LimitError) {
-	if !err.logDue {
-		return
+// limitLogDue reports whether a log line is due on the limit for which a request waits. It must be
+// called with the dispatcher's lock held.
+func (d *Dispatcher) limitLogDue(now time.Duration, w *waiter) bool {
+	limit, l := (*LimitError)(nil), d.limiters[w.service.Name]
+	if l == nil || !errors.As(w.err, &limit) || now < l.loggedAt+limitLogInterval {
+		return false
 	}
+	l.loggedAt = now
+	return true
+}
+
+// logLimit logs that a limit prevents requests from being sent.
+func (h *Handler) logLimit(x *exchange, err *LimitError) {
 	telemetry.StreamsLimited.Log(h.Log, "service", err.Service, "request", x.call.ID, "limit", string(err.Limit),
 		"starting", err.State.Starting, "startingLimit", err.State.StartingLimit, "running", err.State.Running, "runningLimit", err.State.RunningLimit,
 		"lowered", string(err.State.Lowered), "firstMs", err.State.FirstEvent.Milliseconds())
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -47,7 +47,7 @@
 			h.refuse(x, x.heldRefusal())
 			return
 		}
-		reason, wait = refusalReason(result), waitLimits{}
+		reason, wait = refusalReason(result), waitLimits{capacity: max(patience-time.Since(x.start), 0)}
 		if result != responded && !h.mayRetry(x, result) {
 			h.refuse(x, h.finalRefusal(x, reason))
 			return
--- a/internal/relay/promises.go
+++ b/internal/relay/promises.go
@@ -86,8 +86,9 @@
 
 // observeWaiting records whether requests wait for capacity. Those that wait for a path, a pause or a
 // rate limit don't show what the servers can do. It must be called with the lock held.
-func (q *admissionQueue) observeWaiting(now time.Duration) {
+func (d *Dispatcher) observeWaiting(now time.Duration, q *admissionQueue) {
 	q.meter.SetWaiting(now, q.queue.Len() > 0 && errors.Is(q.err, backends.ErrFull))
+	d.reportQueue(now, q)
 }
 
 func countPromise(service, event string) {
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -23,6 +23,8 @@
 	ContentCleared      = Event{4225, "content cleared: it doesn't crash servers"}
 	ShareExceeded       = Event{4228, "client accounts exceed their share of a service"}
 	ShareKept           = Event{4229, "no client account exceeds its share of the service any more"}
+	QueueBegun          = Event{4230, "requests wait for capacity"}
+	QueueEnded          = Event{4231, "no request waits for capacity any more"}
 	RateSet             = Event{4214, "backend server sets a request rate"}
 	RateEnded           = Event{4215, "backend server sets no request rate any more"}
 	RateUnread          = Event{4216, "request rate of a backend server can't be read"}
