Take a VM's part of the demand from the sum of all demand, and lower the limit after rejections

Cause: a hub's answer to a VM has the requests of the budget's window as one sum, while the part was computed from their ages, so that every VM that isn't a hub took its part of the demand for all of it. The expected additions of other VMs were 0, and a server's request rate was divided as if each VM had all callers.

Change: the part follows from the demand that the tallies carry. More than 1 rejection in 20 streams lowers the limit on running streams.

--- a/internal/core/budget/history.go
+++ b/internal/core/budget/history.go
@@ -29,19 +29,6 @@
 // History is what VMs did in the last window, by age: the newest part of the window comes first.
 type History [HistoryLength]Count
 
-// recentFrom and recentTo bound the parts of a History that show the present demand, by age. The
-// newest part of another VM's history is incomplete.
-const recentFrom, recentTo = 1, 5
-
-// RecentRequests returns the requests of the last seconds.
-func (h History) RecentRequests() int {
-	requests := 0
-	for _, count := range h[recentFrom:recentTo] {
-		requests += count.Requests
-	}
-	return requests
-}
-
 // Total returns the counts of the window. Of the part that is partly older it includes the retries,
 // as they may still count, but not the requests.
 func (h History) Total() Count {
--- a/internal/core/pace/pace.go
+++ b/internal/core/pace/pace.go
@@ -87,6 +87,7 @@
 	judged, overdue, all int
 
 	starting, running gradient
+	rejections        rejections
 	// lowered is the limit that was last lowered, and decreases how often one was.
 	lowered   Limit
 	decreases int
@@ -152,6 +153,8 @@
 	}
 	l.starting.use(now, l.startsInUse())
 	l.running.use(now, l.all)
+	l.rejections.begin(now)
+	l.rejections.sent++
 	return s
 }
 
@@ -239,11 +242,16 @@
 	if target <= 0 || s.ended {
 		return
 	}
+	before := l.running.limit
 	if l.running.observe(now, now-gap, gap, time.Duration(runningSetpoint*float64(target))) {
 		l.lowered = Running
 		l.decreases++
 		l.running.limit = max(l.running.limit, minRunning)
 	}
+	if before > 0 && l.rejections.cautious(now) {
+		l.running.limit = min(l.running.limit, before)
+		l.grow(now)
+	}
 }
 
 // LatestStart returns how long after its arrival a request with this latency target may be sent to have
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -11,6 +11,7 @@
 	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/chain"
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/lease"
 	"oleandershunt.example/oleandershunt/internal/core/promise"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -45,6 +46,8 @@
 	// limiters are the limits on streams by service.
 	limiters map[string]*serviceLimiter
 	demand   demandState
+	// parts are this VM's parts of the demand for services.
+	parts map[string]float64
 	// calendar holds the return times that refused callers were promised.
 	calendar *promise.Calendar
 	// division says in which data centres requests start.
@@ -215,7 +218,8 @@
 		d.fleet.SetRemoteUsage(others.Loads, others.VMs)
 	}
 	if d.fleet.HasRateLimits() || d.table != nil && len(d.table.ModelServices()) > 0 {
-		d.fleet.SetDemand(d.now(), demandParts(d.budget.Histories(d.now()), others.Counts))
+		d.parts = d.demandParts(others)
+		d.fleet.SetDemand(d.now(), d.parts)
 	}
 	d.fleet.MarkRemoteFull(d.now(), others.Full, rand.Float64())
 	d.fleet.SetRemoteRateLimits(d.now(), others.Rates)
@@ -225,16 +229,35 @@
 	d.wakeLocked()
 }
 
-// demandParts returns by service this VM's part of the requests of all VMs in the last seconds.
-func demandParts(own, others map[string]budget.History) map[string]float64 {
+// partWeight is the weight of the latest figures in this VM's part of the demand: those of a second are
+// of few requests at most VMs.
+const partWeight = 0.5
+
+// demandParts returns by service this VM's part of the requests that callers send to all VMs. The hub's
+// sum of all demand is of the last second; hubs of older builds tell only the requests of the retry
+// budget's window.
+func (d *Dispatcher) demandParts(others tally.Tally) map[string]float64 {
 	parts := make(map[string]float64)
-	for _, histories := range []map[string]budget.History{own, others} {
-		for service := range histories {
-			requests := own[service].RecentRequests()
-			if all := requests + others[service].RecentRequests(); all > 0 {
-				parts[service] = float64(requests) / float64(all)
+	if others.Overall == nil {
+		own := budget.Totals(d.budget.Histories(d.now()))
+		for service, count := range budget.Totals(others.Counts) {
+			if all := own[service].Requests + count.Requests; all > 0 {
+				parts[service] = float64(own[service].Requests) / float64(all)
 			}
 		}
+		return parts
+	}
+	own := demand.Totals(d.demand.counter.Report(d.now()).Counts)
+	for service, counts := range demand.Totals(others.Overall.Counts) {
+		requests := own[service].Offered.Requests
+		all := max(counts.Offered.Requests, requests) // the sum is older
+		if all == 0 {
+			continue
+		}
+		parts[service] = float64(requests) / float64(all)
+		if before, known := d.parts[service]; known {
+			parts[service] = before + partWeight*(parts[service]-before)
+		}
 	}
 	return parts
 }
@@ -354,11 +377,16 @@
 func (d *Dispatcher) markFull(service routes.Service, id string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if service.Engine != nil {
-		d.fleet.RecordNoMemory(d.now(), id, service.Engine)
+	now := d.now()
+	if service.Engine == nil {
+		d.fleet.MarkFull(now, id)
 		return
 	}
-	d.fleet.MarkFull(d.now(), id)
+	d.fleet.RecordNoMemory(now, id, service.Engine)
+	if l := d.limiter(now, service); l != nil {
+		l.Rejected(now)
+		l.updateMetrics()
+	}
 }
 
 // capacityInUse returns the fractions in use, as far as this VM knows, of a server's memory and of the
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -34,7 +34,7 @@
 	var requests []<-chan struct{}
 	for i, until := 0, time.Now().Add(crashingFor+f.For); time.Now().Before(until); i++ {
 		v, id := w.vms[i%len(w.vms)], w.callers.nextID()
-		r := request{id: id, route: standin.FreeRoute, path: standin.CrashPath(n), body: "{}", crashing: true}
+		r := request{id: id, route: standin.FreeRoute, account: standin.Account, path: standin.CrashPath(n), body: "{}", crashing: true}
 		if f.Kind == CrashingPart {
 			r.route, r.path, r.body, r.crashPart = standin.StreamRoute, pathOf(standin.StreamRoute, id), bodyOf(id), n
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -60,6 +60,9 @@
 	CrashingBody Kind = "crashing_body"
 	CrashingPart Kind = "crashing_part"
 	Skew         Kind = "skew"
+	// FloodOne: one account sends many times its usual load. FloodAll: all accounts do.
+	FloodOne Kind = "flood_one"
+	FloodAll Kind = "flood_all"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -83,6 +86,9 @@
 	crashKinds  = []Kind{CrashingBody, CrashingPart, Skew}
 )
 
+// floodKinds are in the plans of all seeds: a flood excuses no lost request.
+var floodKinds = []Kind{FloodOne, FloodAll}
+
 // Fault is one fault of a plan.
 type Fault struct {
 	// At is the time from the start of the load to the start of the fault, and For its duration.
@@ -138,6 +144,7 @@
 		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 		plan = append(plan, rarePlan(crashKinds, seed, 5, within)...)
 	}
+	plan = append(plan, floodPlan(seed, within)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -154,3 +161,14 @@
 		plan = append(plan, Fault{At: at, For: minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))), Kind: kinds[random.IntN(len(kinds))], Target: random.IntN(1 << 16)})
 	}
 }
+
+// floodPlan returns one flood of each kind, in the two halves of the time. Floods don't overlap: an
+// account is within its share only while no other flood runs.
+func floodPlan(seed uint64, within time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 6))
+	plan := make([]Fault, len(floodKinds))
+	for i, k := range random.Perm(len(floodKinds)) {
+		plan[i] = Fault{At: time.Duration(i) * within / time.Duration(len(floodKinds)), For: minFaultTime + time.Duration(random.Int64N(int64(maxFaultTime-minFaultTime))), Kind: floodKinds[k], Target: random.IntN(1 << 16)}
+	}
+	return plan
+}
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -101,6 +101,9 @@
 	}
 	var found []string
 	for i, u := range now {
+		if u.Streams > 0 {
+			found = append(found, fmt.Sprintf("%s: counts %d streams as running while it is idle", vms[i].Name, u.Streams))
+		}
 		if isLeak(u.Descriptors, most.Descriptors) || isLeak(u.Goroutines, most.Goroutines) || isLeak(u.ResidentMB, most.ResidentMB) {
 			found = append(found, fmt.Sprintf("%s: %+v, at most %+v at first", vms[i].Name, u, most))
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -20,6 +20,7 @@
 	seeds     = flag.Int("soak.seeds", 0, "how many seeds to play; 0 plays the short run only")
 	vms       = flag.Int("soak.vms", 6, "VMs")
 	lasts     = flag.Duration("soak.for", 20*time.Second, "how long faults last in a run")
+	rejecting = flag.Bool("soak.rejecting", false, "plain servers reject requests beyond their slots")
 	race      = flag.Bool("soak.race", false, "build the VMs' program with the race detector")
 )
 
@@ -53,8 +54,8 @@
 	return testutil.Build(t, arguments...)
 }
 
-func play(t *testing.T, program string, seed uint64, vms int, lasts time.Duration) soak.Report {
-	report, err := soak.Run(context.Background(), soak.Options{Program: program, Folder: t.TempDir(), Seed: seed, VMs: vms, For: lasts})
+func play(t *testing.T, program string, seed uint64, vms int, lasts time.Duration, rejecting bool) soak.Report {
+	report, err := soak.Run(context.Background(), soak.Options{Program: program, Folder: t.TempDir(), Seed: seed, VMs: vms, For: lasts, Rejecting: rejecting})
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Log(strings.TrimSpace(report.Text()))
 	return report
@@ -64,7 +65,7 @@
 // the machine is slow count.
 func TestShortSoak(t *testing.T) {
 	const seed, vms, lasts = 5, 3, 5 * time.Second
-	report := play(t, build(t), seed, vms, lasts)
+	report := play(t, build(t), seed, vms, lasts, true)
 	g := NewWithT(t)
 	g.Expect(report.Untimed).To(BeEmpty())
 	g.Expect(report.Served).To(BeNumerically(">", report.Requests/4), "the checks had something to check")
@@ -78,7 +79,7 @@
 	program := build(t)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*seeds); seed++ {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			if report := play(t, program, seed, *vms, *lasts); len(report.Findings) > 0 {
+			if report := play(t, program, seed, *vms, *lasts, *rejecting); len(report.Findings) > 0 {
 				t.Fail()
 			}
 		})
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -40,6 +40,8 @@
 	facts          observations
 	errs           []error
 	wait           sync.WaitGroup
+	// floodMu is held during a flood.
+	floodMu sync.Mutex
 }
 
 func newWorld(options Options) (*world, error) {
@@ -108,6 +110,9 @@
 	return len(w.versions)
 }
 
+// modelSlots are the slots of a model server: few enough that a flood fills them.
+const modelSlots = 6
+
 // addServer starts a server under a new name.
 func (w *world) addServer(card string) error {
 	way, err := newProxy()
@@ -119,10 +124,11 @@
 	options := standin.Options{
 		ID: fmt.Sprintf("i-%d", w.serversCreated), Service: standin.PlainService, DataCentre: dataCentres[w.serversCreated%len(dataCentres)],
 		Slots: 24, Work: 900 * time.Millisecond, Address: way.address,
+		Queues: !w.options.Rejecting,
 	}
 	if card != "" {
 		options.Service, options.Card, options.Layers = standin.ModelService, card, standin.ModelLayers
-		options.Event, options.LoadTime, options.Stall = 15*time.Millisecond, time.Second, 2*time.Second
+		options.Slots, options.Event, options.LoadTime, options.Stall = modelSlots, 15*time.Millisecond, time.Second, 2*time.Second
 	}
 	s := &server{proxy: way}
 	options.OnCrash = func(content string) { w.crash(s, content) }
@@ -156,7 +162,7 @@
 	until := time.Now().Add(startTimeout)
 	for i, served := 0, 0; served < len(w.vms); i++ {
 		id := fmt.Sprintf("start%05d", i)
-		r := request{id: id, route: standin.StreamRoute, vm: w.vms[served].Name, process: 1, path: pathOf(standin.StreamRoute, id), body: bodyOf(id)}
+		r := request{id: id, route: standin.StreamRoute, account: standin.Account, vm: w.vms[served].Name, process: 1, path: pathOf(standin.StreamRoute, id), body: bodyOf(id)}
 		w.callers.do(w.vms[served], &r, false)
 		w.callers.mu.Lock()
 		w.callers.all = append(w.callers.all, r)
