Refuse at once what can't be in time, and let urgent requests go first over all VMs

Cause: under overload requests that could not be in time any more waited for 1.25 s and were refused then. Plain services of deployments that distinguish no requests waited on the VM although their servers queue.

Change: once the servers have lacked capacity for 0.3 s, what can't be in time is refused while others that can be wait. Of each priority the fraction is admitted that the more urgent requests of all VMs leave (AdmittedFraction). After rejections the limit on running streams grows by two fifths a second. Deployments without engine, account, gap target or different priorities are served as before.

--- a/internal/core/pace/rejections.go
+++ b/internal/core/pace/rejections.go
@@ -16,7 +16,7 @@
 	// cautiousPeriod is how long after a decrease the running limit grows by cautiousGrowth per second
 	// only, as the gaps of streams don't show how much memory is left.
 	cautiousPeriod = 3 * time.Second
-	cautiousGrowth = 0.1
+	cautiousGrowth = 0.4
 )
 
 // rejections lowers the running limit while servers reject streams for lack of capacity (additive
--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -238,6 +238,31 @@
 	}
 }
 
+// ShedLate removes and returns the requests that can't be in time any more, while others wait that can:
+// those go first, and as long as they keep arriving nothing is left. Requests that returned at their
+// promised time keep their place.
+func (q *Queue) ShedLate(now time.Duration) []Item {
+	q.demote(now)
+	if len(q.ages.entries) == 0 {
+		return nil
+	}
+	var late []Item
+	for _, lq := range q.levels {
+		if !lq.level.late {
+			continue
+		}
+		for _, f := range lq.flows {
+			for _, e := range f.others {
+				late = append(late, e.Item)
+			}
+		}
+	}
+	for _, item := range late {
+		q.Remove(item.ID)
+	}
+	return late
+}
+
 // Expired removes and returns the requests that may not start any more.
 func (q *Queue) Expired(now time.Duration) []Item {
 	var expired []Item
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -132,6 +132,28 @@
 	g.Expect(q.Next(0, 3)).To(BeEmpty())
 }
 
+// Guards against requests that can't be in time any more waiting in vain under an overload: while others
+// that can be keep arriving they get no capacity.
+func TestLateRequestsAreShedWhileOthersWait(t *testing.T) {
+	g := NewWithT(t)
+	q := queue.New()
+	claimed := item(1, "a", 0)
+	claimed.Claimed = true
+	q.Push(0, claimed)
+	q.Push(0, item(2, "a", 0))
+	q.Push(0, item(3, "b", 0))
+	g.Expect(q.ShedLate(400*ms)).To(BeEmpty(), "no other request waits")
+	fresh := item(4, "b", 5)
+	fresh.Due = 700 * ms
+	q.Push(400*ms, fresh)
+	var ids []uint64
+	for _, late := range q.ShedLate(400 * ms) {
+		ids = append(ids, late.ID)
+	}
+	g.Expect(ids).To(ConsistOf(uint64(2), uint64(3)))
+	g.Expect(startAll(q, 400*ms)).To(Equal([]uint64{4, 1}))
+}
+
 // Guards against a request that can't start for a reason of its own, such as its size, blocking the
 // accounts behind it.
 func TestNextReturnsSeveralAccounts(t *testing.T) {
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -89,6 +89,8 @@
 	byHost       map[string][]Route
 	accounts     map[string]Account
 	keysRequired bool
+	// ordersRequests is the result of OrdersRequests.
+	ordersRequests bool
 }
 
 // New builds a table. keys maps each key to its account; nil means that no request needs a key.
@@ -103,7 +105,12 @@
 	}
 	for _, service := range services {
 		t.services[service.Name] = service
+		t.ordersRequests = t.ordersRequests || service.Engine != nil
 	}
+	for _, route := range list {
+		t.ordersRequests = t.ordersRequests || route.TargetGap > 0 || route.Priority != list[0].Priority
+	}
+	t.ordersRequests = t.ordersRequests || len(keys) > 0
 	for _, route := range list {
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
@@ -114,6 +121,11 @@
 	return t
 }
 
+// OrdersRequests reports whether the configuration has a field that admission control uses: an engine, a
+// client account, different priorities or a gap target. Without any, requests to busy servers of plain
+// services wait at the servers.
+func (t *Table) OrdersRequests() bool { return t.ordersRequests }
+
 // Match returns the route of a host, without port, and a path.
 func (t *Table) Match(host, path string) (Route, bool) {
 	for _, route := range t.byHost[strings.ToLower(host)] {
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,6 +60,8 @@
 	first bool
 	// shareMark is the mark of the request, of which work is given back if it doesn't start.
 	shareMark share.Mark
+	// displaced says that the request gives way to more urgent ones.
+	displaced bool
 	// key identifies a request that is new at this VM; 0 for others and without promises.
 	key promise.Key
 	// due is the time at which the caller was promised to return, if it did; 0 if not.
@@ -95,6 +97,10 @@
 	q := d.admissionQueue(w.service.Name)
 	d.claim(now, w)
 	ahead = q.queue.Ahead(now, w.item)
+	if d.givesWay(w) {
+		w.err = displacedError{}
+		return admission{err: w.err}, ahead, true
+	}
 	if ahead == 0 {
 		if result = d.tryStart(now, w); result.err == nil {
 			return result, 0, true
@@ -236,10 +242,24 @@
 	for _, item := range q.queue.Expired(now) {
 		d.expire(now, q, q.waiting[item.ID])
 	}
+	d.shedLate(now, q)
 	d.observeWaiting(now, q)
 	d.schedule(q, processInterval)
 }
 
+// shedLate ends the wait of requests that can't be in time any more, if the servers have lacked
+// capacity for long enough to show that others will go before them until they expire.
+func (d *Dispatcher) shedLate(now time.Duration, q *admissionQueue) {
+	if !errors.Is(q.err, backends.ErrFull) || !q.meter.Rate(now, 0).Certain {
+		return
+	}
+	for _, item := range q.queue.ShedLate(now) {
+		w := q.waiting[item.ID]
+		w.err = forecastError{}
+		d.admit(q, w, admission{err: w.err})
+	}
+}
+
 // fail records why the last request that was tried couldn't start.
 func (q *admissionQueue) fail(now time.Duration, err error) { q.err, q.failedAt = err, now }
 
--- a/internal/relay/admission_test.go
+++ b/internal/relay/admission_test.go
@@ -175,3 +175,28 @@
 	g.Eventually(server.running.Load, "500ms").Should(BeZero())
 	callers.Wait()
 }
+
+// Guards against requests waiting on the VM in a deployment whose configuration distinguishes none: no
+// engine, account, gap target or different priorities. Its plain servers queue them, as before.
+func TestUndifferentiatedRequestsWaitAtTheServers(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	var running atomic.Int32
+	server := signed(t, func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		<-release
+		_, _ = io.WriteString(w, "x")
+	})
+	route := signalRoutes()["safe"]
+	route.TargetLatency = time.Second
+	vm, _, configure := newVM(t, budget.Options{Window: 10 * time.Second, MinVMs: 1}, route, serviceOf(route), server)
+	configure()
+	const requests = 20 // five times the slots
+	var callers sync.WaitGroup
+	for i := range requests {
+		callers.Go(func() { g.Expect(statusOf(g, vm, fmt.Sprint("r", i))).To(Equal(http.StatusOK)) })
+	}
+	g.Eventually(running.Load, "2s").Should(BeEquivalentTo(requests))
+	close(release)
+	callers.Wait()
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -63,7 +63,7 @@
 // would use up the shared retry budget and take time from the streams that run there.
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
 	start := time.Now()
-	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark}
+	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark, displaced: x.displaced}
 	if x.route.Stream {
 		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
 	}
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,6 +19,9 @@
 type demandState struct {
 	counter *demand.Counter
 	shares  *share.Shares
+	// overall is the latest demand of all VMs, of which at is the time; nil without any.
+	overall *demand.Overall
+	at      time.Duration
 }
 
 func newDemandState() demandState {
@@ -49,6 +53,7 @@
 	d.budget.CountRequest(now, key.Service)
 	d.demand.counter.Offered(now, key, x.account.Name, work)
 	x.shareMark = d.demand.shares.Mark(now, key.Service, x.account.Name, work)
+	x.displaced = d.displaced(now, key)
 	countWork("offered", key, work)
 	if x.shareMark == share.Over {
 		d.demand.counter.OverShare(now, key, work)
@@ -56,6 +61,26 @@
 	}
 }
 
+// displaced draws whether a request gives way to more urgent ones, which other VMs refuse. It must be
+// called with the lock held.
+func (d *Dispatcher) displaced(now time.Duration, key demand.Key) bool {
+	if d.demand.overall == nil || now > d.demand.at+share.Lifetime {
+		return false
+	}
+	fraction := d.demand.overall.AdmittedFraction(key)
+	return fraction < 1 && rand.Float64() >= fraction
+}
+
+// givesWay reports whether a request is refused in favour of more urgent ones. Those that return at
+// their promised time don't give way.
+func (d *Dispatcher) givesWay(w *waiter) bool {
+	if !w.displaced || !w.first || w.item.Resume || w.item.Claimed {
+		return false
+	}
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_admission_displaced_total{service=%q,priority=\"%d\"}", w.service.Name, w.item.Priority)).Inc()
+	return true
+}
+
 // countUnstarted counts a request that found no server. Its work is given back to its account, and it
 // counts as refused if the servers lacked capacity.
 func (d *Dispatcher) countUnstarted(w *waiter, err error) {
@@ -104,6 +129,7 @@
 // It must be called with the lock held.
 func (d *Dispatcher) divideServices(overall *demand.Overall) {
 	now := d.now()
+	d.demand.overall, d.demand.at = overall, now
 	local := d.demand.counter.Report(now)
 	totals := demand.Totals(local.Counts)
 	d.demand.shares.Retain(totals)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -126,6 +126,9 @@
 	if service.Engine != nil {
 		return d.fleet.Path(d.now(), service, request)
 	}
+	// Requests that nothing distinguishes gain nothing from waiting on the VM, and a plain server's
+	// slots say little about how many it can take.
+	request.IgnoreCapacity = request.IgnoreCapacity || d.table != nil && !d.table.OrdersRequests()
 	return d.fleet.Instance(d.now(), service.Name, request)
 }
 
--- a/internal/relay/promises.go
+++ b/internal/relay/promises.go
@@ -29,6 +29,16 @@
 // Unwrap implements errors.Unwrap.
 func (forecastError) Unwrap() error { return backends.ErrFull }
 
+// displacedError is the reason why a request isn't queued: more urgent ones need the capacity.
+type displacedError struct{}
+
+func (displacedError) Error() string {
+	return "backend servers are full and more urgent requests are refused: come back, or let more servers take requests"
+}
+
+// Unwrap implements errors.Unwrap.
+func (displacedError) Unwrap() error { return backends.ErrFull }
+
 // promisesReturn reports whether callers of a request are told when to return, and refused at once if
 // they would wait in vain. Requests without a latency target aren't queued.
 func promisesReturn(x *exchange) bool {
@@ -66,7 +76,11 @@
 		return false
 	}
 	rate := q.meter.Rate(now, w.item.Priority)
-	if !rate.Certain || d.calendar.Forecast(now, q.service, ahead, rate.Upper) <= w.expiry() {
+	latest := w.expiry()
+	if w.item.Due > 0 {
+		latest = min(latest, w.item.Due) // requests that can't be in time get no capacity while others can
+	}
+	if !rate.Certain || d.calendar.Forecast(now, q.service, ahead, rate.Upper) <= latest {
 		return false
 	}
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_promise_refused_at_once_total{service=%q}", q.service)).Inc()
--- a/internal/soak/floods.go
+++ b/internal/soak/floods.go
@@ -83,7 +83,7 @@
 	var flooding, others served
 	from := f.limitedFrom(flood, service)
 	for _, r := range f.requests {
-		if r.sent.Before(from) || r.sent.After(flood.to) || serviceOf(r.route) != service || !f.competes(r) {
+		if r.sent.Before(from) || r.sent.After(flood.to) || serviceOf(r.route) != service || !f.showsAdmission(r) {
 			continue
 		}
 		byAccount[r.account] = append(byAccount[r.account], r)
@@ -96,8 +96,8 @@
 	var found []finding
 	failed := 1 - flooding.share()
 	if flooding.all >= minFloodRequests && others.all >= minShareRequests && failed >= minFloodFailed && 1-others.share() > maxShareFailed*failed+shareFailedSlack {
-		found = append(found, finding{"account crowded out", fmt.Sprintf("%s: %d of %d served, of %s %d of %d",
-			service, others.complete, others.all, flood.account, flooding.complete, flooding.all)})
+		found = append(found, finding{"account crowded out", fmt.Sprintf("%s: %d of %d served, refused %v, of %s %d of %d",
+			service, others.complete, others.all, others.reasons, flood.account, flooding.complete, flooding.all)})
 	}
 	for _, account := range standin.Accounts {
 		if account != flood.account && starved(byAccount[account], byAccount[flood.account]) {
@@ -111,13 +111,19 @@
 func (f *observations) limitedFrom(flood flood, service string) time.Time {
 	first := flood.to
 	for _, r := range f.requests {
-		if r.account == flood.account && serviceOf(r.route) == service && f.competes(r) && !r.complete && r.sent.After(flood.from) && r.ended.Before(first) {
+		if r.account == flood.account && serviceOf(r.route) == service && f.showsAdmission(r) && !r.complete && r.sent.After(flood.from) && r.ended.Before(first) {
 			first = r.ended
 		}
 	}
 	return first.Add(sharesKnownAfter)
 }
 
+// showsAdmission reports whether a request shows what VMs admit: it was served or refused for capacity,
+// or no server was disturbed. Without its servers, no account is served.
+func (f *observations) showsAdmission(r request) bool {
+	return f.competes(r) && (r.complete || r.reason == "overloaded" || f.serversUndisturbed(r))
+}
+
 // competes reports whether a request competes for servers with those of other accounts. A VM that is
 // saturated refuses all accounts alike.
 func (f *observations) competes(r request) bool {
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -95,7 +95,7 @@
 	if float64(failed) <= maxCutFailures+maxCutFailureShare*float64(cut.all+others.all) || cut.share() >= minCutServed*others.share() {
 		return nil
 	}
-	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, the others %d of %d", cut.complete, cut.all, others.complete, others.all)}}
+	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, refused %v, the others %d of %d", cut.complete, cut.all, cut.reasons, others.complete, others.all)}}
 }
 
 // undisturbedVM reports whether the VM of a request was not disturbed itself. What is done to the
@@ -127,14 +127,22 @@
 	return false
 }
 
-// served counts requests and those with a complete answer.
-type served struct{ all, complete int }
+// served counts requests and those with a complete answer, and by reason those that were refused.
+type served struct {
+	all, complete int
+	reasons       map[string]int
+}
 
 func (s *served) count(r request) {
 	s.all++
 	if r.complete {
 		s.complete++
+		return
+	}
+	if s.reasons == nil {
+		s.reasons = make(map[string]int)
 	}
+	s.reasons[r.reason]++
 }
 
 func (s *served) share() float64 { return float64(s.complete) / max(float64(s.all), 1) }
