--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/history"
@@ -70,6 +71,36 @@
 	f.dropServer(now, Departure{ID: id, Revision: revision})
 }
 
+// MissingEntry is a server that is used although its entry is missing.
+type MissingEntry struct {
+	ID string
+	// Revision is the platform revision at which the entry was missing.
+	Revision history.Version
+	// Left is for how long the server is still used; negative while the platform is unavailable,
+	// since the time then counts from its return.
+	Left time.Duration
+}
+
+// MissingEntries returns the servers that are used although their entries are missing, ordered by ID.
+func (f *Fleet) MissingEntries(now time.Duration) []MissingEntry {
+	var list []MissingEntry
+	for id, s := range f.subsets.missing {
+		missing := MissingEntry{ID: id, Revision: s.missingRevision, Left: -1}
+		if !f.platformDown {
+			missing.Left = max(f.platformUpAt+ExpiryGrace-now, 0)
+		}
+		list = append(list, missing)
+	}
+	slices.SortFunc(list, func(a, b MissingEntry) int { return strings.Compare(a.ID, b.ID) })
+	return list
+}
+
+// IsEntryMissing reports whether a server is used although its entry is missing.
+func (f *Fleet) IsEntryMissing(id string) bool {
+	_, missing := f.subsets.missing[id]
+	return missing
+}
+
 func (f *Fleet) dropServer(now time.Duration, departure Departure) {
 	f.deleteServer(departure.ID)
 	f.recordDeparture(now, departure)
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -175,6 +175,9 @@
 	load := choice.Load(w.request.Prompt + w.request.Answer)
 	d.fleet.AddLoad(load)
 	d.fleet.CountSent(now, choice)
+	if d.fleet.IsEntryMissing(choice.First.ID) {
+		metrics.GetOrCreateCounter("oleandershunt_relay_missing_entry_attempts_total").Inc()
+	}
 	d.admissionQueue(w.service.Name).queue.Started(w.item)
 	d.countStarted(now, w)
 	d.recordStart(now, w)
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -51,6 +51,8 @@
 	ServersRegained    = Event{6106, "paths to backend servers work again"}
 	ServiceDivided     = Event{6107, "service is divided over data centres"}
 	ServiceUndivided   = Event{6108, "service is not divided over data centres any more"}
+	EntryMissing       = Event{6109, "entry of a backend server is missing; it may have expired while the platform was away, and the server is still used"}
+	EntryDecided       = Event{6110, "backend server whose entry was missing is removed, or its entry is back"}
 	RelayProofLost     = Event{2103, "configuration is not proven to be the newest"}
 	RelayProofBack     = Event{2104, "configuration is proven to be the newest again"}
 	RelayConfigUnread  = Event{2105, "configuration can't be read from the platform"}
