Test departures after outages of the store, cut off watches, and with silent or lost sources

The rig's connection to the store now polls like the platform's client, which answers a new watch only when something changes; before, each watch got a bookmark at once, and no test could see this.

A departure that a server announces isn't told to other VMs by those that don't read the entries.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -68,7 +68,7 @@
 	seed := ""
 	for i := range vms {
 		link := cutlink.New()
-		vm := &rig{WithT: NewWithT(t), t: t, store: r.store, storeConn: &storeConn{memoryStore: r.store}, engines: newHTTPEngines, dial: r.dialOver(link)}
+		vm := &rig{WithT: NewWithT(t), t: t, store: r.store, storeConn: newStoreConn(r.store), engines: newHTTPEngines, dial: r.dialOver(link)}
 		vm.changes = []func(*edge.Settings){firstStart}
 		vm.startOnFreePorts(fmt.Sprint("vm-", i+1), seed)
 		if seed == "" {
--- a/internal/edge/cutoff_test.go
+++ b/internal/edge/cutoff_test.go
@@ -96,7 +96,7 @@
 
 // newLinkedVM starts a VM that reaches servers over a link.
 func newLinkedVM(t *testing.T, name string, store *memoryStore, seed string, link *cutlink.Link, changes ...func(*edge.Settings)) *rig {
-	r := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: &storeConn{memoryStore: store}, changes: changes, engines: newHTTPEngines, dial: link.Dial}
+	r := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: newStoreConn(store), changes: changes, engines: newHTTPEngines, dial: link.Dial}
 	r.startOnFreePorts(name, seed)
 	return r
 }
--- a/internal/edge/saturation_test.go
+++ b/internal/edge/saturation_test.go
@@ -36,7 +36,7 @@
 func limited(t *testing.T, store *memoryStore, name, seed string, cores float64, changes ...func(*edge.Settings)) (*rig, *usage) {
 	u := new(usage)
 	t.Cleanup(func() { u.silence.Store(false) })
-	vm := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: &storeConn{memoryStore: store}, engines: withoutEngines, readUsage: u.read}
+	vm := &rig{WithT: NewWithT(t), t: t, store: store, storeConn: newStoreConn(store), engines: withoutEngines, readUsage: u.read}
 	vm.changes = append([]func(*edge.Settings){func(s *edge.Settings) {
 		s.Cores, s.Limits = cores, vmlimits.Limits{MemoryMB: memoryLimit}
 	}}, changes...)
