Take a removed entry for expired only shortly after an outage that may have expired it

Each VM knew of the removal within 10 ms, and went on using the server for 2.2 s: entries expire while the platform is away, and a VM counted that time from the first answer to its own watch. A watch that was sent during the outage is never answered, and the next one only when something changes. So the removal itself, 3.3 s after the outage, was the first sign of the platform's return. A watch that was merely cut off had the same effect.

A removal counts as a possible expiry only if the outage lasted for one and a half heartbeats or more, from the last confirmation of the entries to the return, and 1.8 s after the return at most, which may be known through another VM. A server with a missing entry is used until 2.2 s after the return, and never for longer than the platform's drainMs, less 150 ms, after its removal is known; the end needs no periodic work any more. drainMs is read from the settings; before, nothing in the program knew it.

Tests of core, mirror, platform and telemetry pass with -race, of edge those of departures.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -45,17 +45,12 @@
 	Version int
 }
 
-// ExpiryGrace is how long an entry may be missing after the platform becomes available again before
-// its server counts as gone. Entries expire while servers can't write to the platform; according to
-// the platform, a live server rewrites its entry about 2 s after the outage.
-const ExpiryGrace = 2200 * time.Millisecond
-
 // serverState is a server with its observed state and load.
 type serverState struct {
 	Server
-	// missingRevision is the revision at which the entry was found missing while that may be due to
-	// a platform outage. 0 if the entry is present.
-	missingRevision history.Version
+	// missing says since when the entry is missing while that may be due to a platform outage. The
+	// zero value if the entry is present.
+	missing missingState
 	// suspectUntil is when a server that failed may get requests again.
 	suspectUntil time.Duration
 	// silentUntil is until when the server gets no requests because it doesn't respond. It ends
@@ -95,9 +90,9 @@
 	departed map[string]departureRecord
 	// newDepartures are the departures since the last call of TakeDepartures.
 	newDepartures []Departure
-	// platformUpAt is when the platform became available again after an outage.
-	platformUpAt time.Duration
-	platformDown bool
+	platform      platformState
+	// departureTime is how long a server with a missing entry may be used.
+	departureTime time.Duration
 	// restoreVersion is the version of the first list of the platform's current history. Entries up
 	// to it may come from the backup that the history was restored from.
 	restoreVersion history.Version
@@ -135,6 +130,7 @@
 		rateLimits:        ratelimit.New(),
 		pauses:            backpressure.NewPauses(),
 		heartbeatInterval: defaultHeartbeatInterval,
+		departureTime:     defaultDepartureTime - departureMargin,
 	}
 }
 
@@ -174,16 +170,6 @@
 	return list
 }
 
-// SetPlatformDown records that the platform doesn't answer this VM.
-func (f *Fleet) SetPlatformDown() { f.platformDown = true }
-
-// SetPlatformUp records that the platform answers again.
-func (f *Fleet) SetPlatformUp(now time.Duration) {
-	if f.platformDown {
-		f.platformDown, f.platformUpAt = false, now
-	}
-}
-
 // Put adds or updates an entry.
 func (f *Fleet) Put(now time.Duration, server Server) {
 	if server.Name == "" {
@@ -199,7 +185,7 @@
 		if reindex {
 			f.index.remove(s)
 		}
-		s.Server, s.missingRevision = server, 0
+		s.Server, s.missing = server, missingState{}
 		delete(f.subsets.missing, s.ID)
 		if reindex {
 			f.index.add(s)
@@ -234,7 +220,7 @@
 			f.servers[server.ID].Draining = true
 			return
 		}
-		if s.missingRevision == 0 && s.Revision > server.Revision {
+		if s.missing.revision == 0 && s.Revision > server.Revision {
 			id = server.ID
 		}
 		f.deleteServer(id)
@@ -265,7 +251,7 @@
 		f.Put(now, server)
 	}
 	for id := range f.servers {
-		if !present[id] && f.servers[id].missingRevision == 0 {
+		if !present[id] && f.servers[id].missing.revision == 0 {
 			f.entryRemoved(now, id, revision)
 		}
 	}
@@ -288,11 +274,7 @@
 // RemoveExpired deletes the servers whose missing entries didn't come back in time, and forgets departures
 // after departureTTL.
 func (f *Fleet) RemoveExpired(now time.Duration) {
-	for id, s := range f.subsets.missing {
-		if !f.platformDown && now >= f.platformUpAt+ExpiryGrace {
-			f.dropServer(now, Departure{ID: id, Revision: s.missingRevision})
-		}
-	}
+	f.removeExpired(now)
 	f.pauses.RemoveExpired(now)
 	f.reinstateAfterRestore(now)
 	for id, departure := range f.departed {
@@ -463,5 +445,5 @@
 	if s.DataCentre != request.DataCentre && now < f.unreachableUntil[s.DataCentre] {
 		return false
 	}
-	return !s.Draining && now >= max(s.suspectUntil, s.silentUntil) && !f.isPaused(now, s.ID, request) && !slices.Contains(request.Avoid, s.ID)
+	return !s.Draining && !f.isExpired(now, s) && now >= max(s.suspectUntil, s.silentUntil) && !f.isPaused(now, s.ID, request) && !slices.Contains(request.Avoid, s.ID)
 }
--- a/internal/core/backends/capacity.go
+++ b/internal/core/backends/capacity.go
@@ -34,7 +34,7 @@
 	rates := make(map[siteKey]layerRates)
 	for _, s := range f.servers {
 		engine, known := engines[s.Service]
-		if !known || s.Draining || now < max(s.suspectUntil, s.silentUntil) || f.isPaused(now, s.ID, Request{}) {
+		if !known || s.Draining || f.isExpired(now, s) || now < max(s.suspectUntil, s.silentUntil) || f.isPaused(now, s.ID, Request{}) {
 			continue
 		}
 		if engine == nil {
--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/history"
@@ -63,44 +62,14 @@
 
 func (f *Fleet) entryRemoved(now time.Duration, id string, revision history.Version) {
 	s := f.servers[id]
-	if f.platformDown || (f.platformUpAt > 0 && now < f.platformUpAt+ExpiryGrace) {
-		s.missingRevision = revision
+	if f.platform.mayHaveExpired(now) {
+		s.missing = missingState{revision: revision, since: now}
 		f.subsets.missing[id] = s
 		return
 	}
 	f.dropServer(now, Departure{ID: id, Revision: revision})
 }
 
-// MissingEntry is a server that is used although its entry is missing.
-type MissingEntry struct {
-	ID string
-	// Revision is the platform revision at which the entry was missing.
-	Revision history.Version
-	// Left is for how long the server is still used; negative while the platform is unavailable,
-	// since the time then counts from its return.
-	Left time.Duration
-}
-
-// MissingEntries returns the servers that are used although their entries are missing, ordered by ID.
-func (f *Fleet) MissingEntries(now time.Duration) []MissingEntry {
-	var list []MissingEntry
-	for id, s := range f.subsets.missing {
-		missing := MissingEntry{ID: id, Revision: s.missingRevision, Left: -1}
-		if !f.platformDown {
-			missing.Left = max(f.platformUpAt+ExpiryGrace-now, 0)
-		}
-		list = append(list, missing)
-	}
-	slices.SortFunc(list, func(a, b MissingEntry) int { return strings.Compare(a.ID, b.ID) })
-	return list
-}
-
-// IsEntryMissing reports whether a server is used although its entry is missing.
-func (f *Fleet) IsEntryMissing(id string) bool {
-	_, missing := f.subsets.missing[id]
-	return missing
-}
-
 func (f *Fleet) dropServer(now time.Duration, departure Departure) {
 	f.deleteServer(departure.ID)
 	f.recordDeparture(now, departure)
--- a/internal/core/backends/departures_test.go
+++ b/internal/core/backends/departures_test.go
@@ -21,7 +21,7 @@
 	f.SetPlatformDown()
 	f.Put(time.Second, plainServer("s1@1", "1:1", versionOf(1, 12)))
 	g.Expect(readyIDs(f)).To(Equal([]string{"s2"}), "an entry written after the announcement")
-	f.SetPlatformUp(2 * time.Second)
+	f.ConfirmPlatform(2*time.Second, 2*time.Second)
 	f.Remove(2*time.Second, "s1@1", versionOf(1, 13))
 	f.RemoveExpired(8 * time.Second)
 	f.Put(9*time.Second, plainServer("s1@1", "1:1", versionOf(1, 14)))
--- a/internal/core/backends/health.go
+++ b/internal/core/backends/health.go
@@ -34,7 +34,7 @@
 	if !ok {
 		return false
 	}
-	return now < s.unresponsiveUntil || (s.missingRevision > 0 && s.unresponsiveUntil > 0 && now < s.unresponsiveUntil+unresponsiveTTL)
+	return now < s.unresponsiveUntil || (s.missing.revision > 0 && s.unresponsiveUntil > 0 && now < s.unresponsiveUntil+unresponsiveTTL)
 }
 
 // SetPace records the pace that a server reported to this VM: how many times as long as usual it
--- a/internal/core/backends/histories.go
+++ b/internal/core/backends/histories.go
@@ -34,7 +34,7 @@
 	if first {
 		return
 	}
-	f.platformDown, f.platformUpAt = false, now
+	f.platform = platformState{confirmedAt: now, returnedAt: now, expiriesFrom: now}
 	for id, departure := range f.departed {
 		if departure.revision > 0 {
 			f.departed[id] = departureRecord{at: now, revision: listed, beforeRestore: true}
@@ -53,7 +53,7 @@
 func (f *Fleet) reinstateAfterRestore(now time.Duration) {
 	for id, departure := range f.departed {
 		s, ok := f.servers[id]
-		if !departure.beforeRestore || !ok || s.missingRevision > 0 || f.platformDown || now < max(departure.at, f.platformUpAt)+missedHeartbeats*f.heartbeatInterval {
+		if !departure.beforeRestore || !ok || s.missing.revision > 0 || f.platform.down || now < max(departure.at, f.platform.returnedAt)+missedHeartbeats*f.heartbeatInterval {
 			continue
 		}
 		if len(f.index.byAddress[s.Address]) > 1 {
--- a/internal/core/backends/pauses.go
+++ b/internal/core/backends/pauses.go
@@ -53,7 +53,7 @@
 // asked for a pause.
 func (f *Fleet) Usable(now time.Duration, choice Choice) bool {
 	for id := range choice.serverIDs() {
-		if s, ok := f.servers[id]; !ok || s.Draining || f.pauses.Active(now, id) {
+		if s, ok := f.servers[id]; !ok || s.Draining || f.isExpired(now, s) || f.pauses.Active(now, id) {
 			return false
 		}
 	}
--- a/internal/core/backends/subsets_test.go
+++ b/internal/core/backends/subsets_test.go
@@ -37,7 +37,7 @@
 // scanMissing returns the servers whose entries are missing.
 func (f *Fleet) scanMissing() (missing []string) {
 	for id, s := range f.servers {
-		if s.missingRevision > 0 {
+		if s.missing.revision > 0 {
 			missing = append(missing, id)
 		}
 	}
@@ -89,7 +89,7 @@
 			if rapid.Bool().Draw(t, "down") {
 				m.fleet.SetPlatformDown()
 			} else {
-				m.fleet.SetPlatformUp(m.now)
+				m.fleet.ConfirmPlatform(m.now, m.now)
 			}
 		},
 		"expire": func(*rapid.T) { m.fleet.RemoveExpired(m.now) },
@@ -162,7 +162,7 @@
 	f.Put(time.Second, server)
 	g.Expect(f.HasPending()).To(BeFalse(), "the entry is back")
 	f.Remove(2*time.Second, "s1", 4)
-	f.SetPlatformUp(2 * time.Second)
+	f.ConfirmPlatform(2*time.Second, 2*time.Second)
 	f.RemoveExpired(2*time.Second + ExpiryGrace)
 	g.Expect(f.HasPending()).To(BeFalse(), "the server was deleted")
 }
--- a/internal/edge/missing_test.go
+++ b/internal/edge/missing_test.go
@@ -5,16 +5,54 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	. "github.com/onsi/gomega"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
-	"oleandershunt.example/oleandershunt/internal/core/history"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	objects "oleandershunt.example/oleandershunt/internal/platform"
 	"oleandershunt.example/oleandershunt/internal/relay"
 )
 
+// recordingLog returns a log and the lines that it got.
+func recordingLog() (logr.Logger, *[]string) {
+	lines := new([]string)
+	return funcr.New(func(_, args string) { *lines = append(*lines, args) }, funcr.Options{}), lines
+}
+
+// Guards against servers that are used although their entries are missing, without a line in the log.
+func TestMissingEntriesAreLogged(t *testing.T) {
+	const outageEnd = 10 * time.Second
+	for outcome, end := range map[string]func(fleet *backends.Fleet){
+		"returned": func(fleet *backends.Fleet) {
+			fleet.Put(outageEnd+time.Second, backends.Server{ID: "s1", Service: "app", Address: "1:1", Revision: 4})
+		},
+		"removed": func(fleet *backends.Fleet) { fleet.RemoveExpired(outageEnd + backends.ExpiryGrace) },
+	} {
+		t.Run(outcome, func(t *testing.T) {
+			g := NewWithT(t)
+			log, lines := recordingLog()
+			fleet := backends.New()
+			fleet.ConfirmPlatform(time.Second, 0)
+			fleet.Put(time.Second, backends.Server{ID: "s1", Service: "app", Address: "1:1", Revision: 1})
+			fleet.SetPlatformDown()
+			fleet.ConfirmPlatform(outageEnd, outageEnd)
+			var missing missingEntryLog
+			missing.update(log, outageEnd, fleet)
+			g.Expect(*lines).To(BeEmpty())
+			fleet.Replace(outageEnd, nil, 3)
+			missing.update(log, outageEnd, fleet)
+			missing.update(log, outageEnd+time.Second, fleet)
+			g.Expect(*lines).To(ConsistOf(And(ContainSubstring(`"event"=6109`), ContainSubstring(`"server"="s1"`), ContainSubstring(`"forMs"=1850`))))
+			end(fleet)
+			missing.update(log, outageEnd+backends.ExpiryGrace, fleet)
+			g.Expect(*lines).To(HaveLen(2))
+			g.Expect((*lines)[1]).To(And(ContainSubstring(`"event"=6110`), ContainSubstring(`"outcome"="`+outcome+`"`), ContainSubstring(`"afterMs"=2200`)))
+		})
+	}
+}
+
 // jsonDecoder decodes servers as they are, and no routes.
 type jsonDecoder struct{}
 
@@ -25,20 +63,13 @@
 	return server, json.Unmarshal(value, &server)
 }
 
-// Guards against servers that are used although their entries are missing, without a line in the log.
-func TestMissingEntriesAreLogged(t *testing.T) {
+// Guards against changes of entries of which the log doesn't say where they were learnt.
+func TestChangesOfEntriesAreLoggedWithTheirSource(t *testing.T) {
 	g := NewWithT(t)
-	var lines []string
-	log := funcr.New(func(_, args string) { lines = append(lines, args) }, funcr.Options{})
-	l := newServerList(Options{Log: log, Decode: jsonDecoder{}}, relay.NewDispatcher(func() time.Duration { return time.Minute }, nil), func(backends.Server) {})
-	entry := func(name string, version history.Version) objects.Object {
-		return objects.Object{Name: name, Version: version, Value: []byte(`{"Service":"app","Address":"1:1"}`)}
-	}
-	g.Expect(l.HandleList(objects.List{Version: 2, Items: []objects.Object{entry("s1", 1)}})).To(Succeed())
-	l.HandleError(objects.ErrUnavailable)
-	g.Expect(l.HandleList(objects.List{Version: 3})).To(Succeed())
-	g.Expect(lines).To(ContainElement(And(ContainSubstring(`"event"=6109`), ContainSubstring(`"server"="s1"`))))
-	g.Expect(l.HandleEvent(objects.WatchEvent{Object: entry("s1", 4)})).To(Succeed())
-	g.Expect(lines).To(ContainElement(And(ContainSubstring(`"event"=6110`), ContainSubstring(`"outcome"="returned"`))))
-	g.Expect(lines).To(ContainElement(And(ContainSubstring(`"event"=6101`), ContainSubstring(`"from"="platform"`))))
+	log, lines := recordingLog()
+	options := Options{Log: log, Decode: jsonDecoder{}, current: newCurrentSettings(Settings{})}
+	l := newServerList(options, relay.NewDispatcher(func() time.Duration { return time.Minute }, nil), func(backends.Server) {})
+	l.follower.RecordPlatformResponse()
+	g.Expect(l.HandleEvent(objects.WatchEvent{Object: objects.Object{Name: "s1", Version: 1, Value: []byte(`{"Service":"app","Address":"1:1"}`)}})).To(Succeed())
+	g.Expect(*lines).To(ConsistOf(And(ContainSubstring(`"event"=6101`), ContainSubstring(`"from"="platform"`), ContainSubstring(`"proofAgeMs"=0`))))
 }
