--- a/internal/mirror/bound_test.go
+++ b/internal/mirror/bound_test.go
@@ -133,6 +133,14 @@
 	}
 }
 
+// calls returns the number of calls of the store by all VMs.
+func (c *cluster) calls() (calls int64) {
+	for _, v := range c.vms {
+		calls += v.store.lists.Load() + v.store.watches.Load()
+	}
+	return calls
+}
+
 // playOutage lets the store fall silent, removes a server's entry meanwhile and returns how long after the
 // store's return the last VM knows it.
 func playOutage(t *testing.T, sizes []int, random *rand.Rand) time.Duration {
@@ -145,7 +153,9 @@
 		c.store.wake()
 	}
 	setSilent(true)
+	before := c.calls()
 	time.Sleep(outageTime)
+	t.Logf("%d calls of the store in an outage of %s", c.calls()-before, outageTime)
 	c.store.set("s1", true)
 	time.Sleep(time.Millisecond) // the waiting watches look at the change and stay without an answer
 	setSilent(false)
