Bound the time in which VMs learn of departures through other VMs

VMs in touch with the store learned of a departure up to 6.7 s late (2 s allowed) if the store left the VMs that read for them without an answer, or these were lost: a copy was trusted for 3 s after its proof, a VM waited half a second and more at each source, and the later VMs of a data centre read the store themselves after seconds only. Nothing on the way knew the bound.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -130,7 +130,7 @@
 		rateLimits:        ratelimit.New(),
 		pauses:            backpressure.NewPauses(),
 		heartbeatInterval: defaultHeartbeatInterval,
-		departureTime:     defaultDepartureTime - departureMargin,
+		departureTime:     defaultDepartureTime,
 	}
 }
 
--- a/internal/core/backends/outage.go
+++ b/internal/core/backends/outage.go
@@ -21,11 +21,8 @@
 	expiryWindow = 1800 * time.Millisecond
 	// ExpiryGrace is how long after an outage an entry may be missing before its server counts as gone.
 	ExpiryGrace = 2200 * time.Millisecond
-	// defaultDepartureTime is the departure time if it isn't configured.
-	defaultDepartureTime = 2 * time.Second
-	// departureMargin is how long before its end the departure time is used up: the time from the choice of a
-	// server to the arrival of a request there.
-	departureMargin = 150 * time.Millisecond
+	// defaultDepartureTime is how long a server with a missing entry may be used if it isn't configured.
+	defaultDepartureTime = 1850 * time.Millisecond
 )
 
 // platformState is what this VM knows of the platform's availability.
@@ -38,11 +35,11 @@
 	returnedAt, expiriesFrom time.Duration
 }
 
-// SetDepartureTime sets the time within which this VM must send no more requests to a server after it learned
-// that its entry was removed. 0 keeps the current value.
+// SetDepartureTime sets for how long at most a server may be chosen after this VM learned that its entry is
+// missing. 0 keeps the current value.
 func (f *Fleet) SetDepartureTime(within time.Duration) {
 	if within > 0 {
-		f.departureTime = max(within-departureMargin, 0)
+		f.departureTime = within
 	}
 }
 
--- a/internal/core/backends/outage_test.go
+++ b/internal/core/backends/outage_test.go
@@ -18,7 +18,7 @@
 // newOutageFleet returns a fleet of two servers that the platform confirmed before an outage.
 func newOutageFleet() *backends.Fleet {
 	f := backends.New()
-	f.SetDepartureTime(drainTime)
+	f.SetDepartureTime(drainTime - 150*time.Millisecond)
 	f.ConfirmPlatform(outageBegin, 0)
 	f.Replace(outageBegin, []backends.Server{plainServer("s1", "1:1", 3), plainServer("s2", "2:1", 4)}, 9)
 	f.SetPlatformDown()
--- a/internal/mirror/assignment_test.go
+++ b/internal/mirror/assignment_test.go
@@ -61,7 +61,7 @@
 }
 
 // Guards against all VMs of a data centre that read the whole list at once when their
-// sources are lost: 200 lists of 900 kB take the platform's link two seconds.
+// sources are lost and they have no objects yet: 200 lists of 900 kB take the platform's link two seconds.
 func TestFallbackReadsAreSpread(t *testing.T) {
 	g := NewWithT(t)
 	vms := dataCentre(10, 197)
@@ -71,7 +71,7 @@
 		f := NewFollower(nil, Options{Self: vm.Name, Now: func() time.Duration { return now }})
 		spacing := time.Duration(lease.Position(vms, vm.Name)) * fallbackSpacing
 		for ; now < time.Minute+10*time.Second; now += 100 * time.Millisecond {
-			if f.mayReadDirectly(spacing) {
+			if f.mayReadDirectly(assignment{spacing: spacing}, 0) {
 				reads[int((now-time.Minute)/time.Second)]++
 			}
 		}
--- a/internal/mirror/bound_test.go
+++ b/internal/mirror/bound_test.go
@@ -12,8 +12,9 @@
 	"oleandershunt.example/oleandershunt/internal/edge"
 )
 
-// departureTime is the time within which every VM in touch with the store must know that a server leaves.
-const departureTime = 2 * time.Second
+// departureTime is the time within which every VM in touch with the store must know that a server leaves: 2 s less
+// the time of a request that is on its way.
+const departureTime = 1850 * time.Millisecond
 
 // silences are the VMs that the store does not answer any more.
 var silences = map[string]func(c *cluster, random *rand.Rand) []*vm{
@@ -167,3 +168,32 @@
 	}
 	return time.Since(back)
 }
+
+// Guards against calls of the store that grow with the number of VMs, and against messages between VMs that grow
+// faster than it, while nothing changes.
+func TestQuietCallsAndMessagesAreBounded(t *testing.T) {
+	const quiet = 20 * time.Second
+	for _, sizes := range [][]int{{3, 2, 2}, {23, 23, 22}, {100, 100, 100}} {
+		t.Run(fmt.Sprint(sizes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := newClusterOf(t, newStore("s1"), sizes, edge.StoreOptions(edge.Settings{ResyncTime: 3 * time.Second})...)
+				time.Sleep(5 * time.Second)
+				calls, messages := c.calls(), c.messages()
+				time.Sleep(quiet)
+				callsPerSecond := float64(c.calls()-calls) / quiet.Seconds()
+				messagesPerVM := float64(c.messages()-messages) / quiet.Seconds() / float64(len(c.vms))
+				t.Logf("%.2f calls of the store a second, %.2f messages a second by each VM", callsPerSecond, messagesPerVM)
+				NewWithT(t).Expect(callsPerSecond).To(BeNumerically("<=", 3))
+				NewWithT(t).Expect(messagesPerVM).To(BeNumerically("<=", 2))
+			})
+		})
+	}
+}
+
+// messages returns the number of requests of all VMs to others.
+func (c *cluster) messages() (messages int64) {
+	for _, v := range c.vms {
+		messages += v.fetches.Load()
+	}
+	return messages
+}
