Tell other VMs what a server announced to one, and what was read before a VM stopped reading

A server that leaves says so in its responses. And a VM dropped a departure that it had read from the store if it read the store no more when its next report was made, up to 0.3 s later.

Announced departures are reported by any VM, unless the entries show them within the interval of reports, as all VMs learn of them then. What was read from the platform is kept for the reports at once.

TestDepartureReadFromThePlatformIsReportedLater has no counterpart on the code before, where the report's own loss was found by reading. Tests of backends and of departures in edge pass.

--- a/internal/core/backends/backends.go
+++ b/internal/core/backends/backends.go
@@ -89,7 +89,7 @@
 	// event could show such a server as ready, and it would get requests while it stops.
 	departed map[string]departureRecord
 	// newDepartures are the departures since the last call of TakeDepartures.
-	newDepartures []Departure
+	newDepartures []newDeparture
 	platform      platformState
 	// departureTime is how long a server with a missing entry may be used.
 	departureTime time.Duration
@@ -176,7 +176,7 @@
 		server.Name = server.ID
 	}
 	if server.Draining {
-		f.recordDeparture(now, Departure{ID: server.ID})
+		f.recordListed(now, Departure{ID: server.ID})
 	} else {
 		server.Draining = !f.mayReturn(now, server)
 	}
--- a/internal/core/backends/backends_test.go
+++ b/internal/core/backends/backends_test.go
@@ -144,11 +144,11 @@
 	f.ApplyDeparture(0, backends.Departure{ID: "s1"})
 	f.Put(time.Second, server("s1", "a", "fast", 0, 80))
 	g.Expect(f.Servers("llm")).To(BeEmpty())
-	g.Expect(f.TakeDepartures()).To(BeEmpty(), "another VM already published it")
+	g.Expect(f.TakeDepartures(true)).To(BeEmpty(), "another VM already published it")
 	f.Put(time.Second, server("s2", "a", "fast", 0, 80))
 	f.Remove(time.Second, "s2", 1)
-	g.Expect(f.TakeDepartures()).To(Equal([]backends.Departure{{ID: "s2", Revision: 1}}))
-	g.Expect(f.TakeDepartures()).To(BeEmpty())
+	g.Expect(f.TakeDepartures(true)).To(Equal([]backends.Departure{{ID: "s2", Revision: 1}}))
+	g.Expect(f.TakeDepartures(true)).To(BeEmpty())
 }
 
 // Guards against requests that are refused with 421 for two seconds after a platform outage: a
@@ -179,7 +179,7 @@
 		f := backends.New()
 		f.Replace(0, list, 10)
 		g.Expect(f.Servers("llm")).To(Equal([]backends.Server{again}))
-		g.Expect(f.TakeDepartures()).To(BeEmpty())
+		g.Expect(f.TakeDepartures(true)).To(BeEmpty())
 	}
 }
 
--- a/internal/core/backends/departures.go
+++ b/internal/core/backends/departures.go
@@ -23,6 +23,15 @@
 	// beforeRestore is set if the entry was removed in a former history of the platform. If it is
 	// present again, it came from the backup that the current history was restored from.
 	beforeRestore bool
+	// listed is set if the entries show the departure, so that all VMs learn of it from them.
+	listed bool
+}
+
+// newDeparture is a departure that this VM found.
+type newDeparture struct {
+	Departure
+	// announced is set if the server itself said so to this VM.
+	announced bool
 }
 
 // departureTTL is how long a departure is remembered. It is longer than any answer of the platform
@@ -42,7 +51,7 @@
 	}
 	for _, s := range f.index.byAddress[server.Address] {
 		if s.ID != server.ID {
-			f.recordDeparture(now, Departure{ID: server.ID})
+			f.recordListed(now, Departure{ID: server.ID})
 			return false
 		}
 	}
@@ -72,23 +81,28 @@
 
 func (f *Fleet) dropServer(now time.Duration, departure Departure) {
 	f.deleteServer(departure.ID)
-	f.recordDeparture(now, departure)
+	f.recordListed(now, departure)
 }
 
 // MarkLeaving records that a server announced its own departure. Its process never returns from
 // that, whatever its entry says. It reports whether that is new.
 func (f *Fleet) MarkLeaving(now time.Duration, id string) bool {
 	previous, known := f.departed[id]
-	f.recordDeparture(now, Departure{ID: id})
+	f.recordDeparture(now, newDeparture{Departure{ID: id}, true})
 	if s, ok := f.servers[id]; ok {
 		s.Draining = true
 	}
 	return !known || previous.revision > 0
 }
 
+// recordListed records a departure that the entries show.
+func (f *Fleet) recordListed(now time.Duration, departure Departure) {
+	f.recordDeparture(now, newDeparture{Departure: departure})
+}
+
 // recordDeparture records that a server leaves or has left. A departure with revision 0 stays
 // final.
-func (f *Fleet) recordDeparture(now time.Duration, departure Departure) {
+func (f *Fleet) recordDeparture(now time.Duration, departure newDeparture) {
 	previous, ok := f.departed[departure.ID]
 	if !ok {
 		f.newDepartures = append(f.newDepartures, departure)
@@ -96,12 +110,19 @@
 	if ok && previous.revision == 0 {
 		departure.Revision = 0
 	}
-	f.departed[departure.ID] = departureRecord{at: now, revision: departure.Revision}
+	f.departed[departure.ID] = departureRecord{at: now, revision: departure.Revision, listed: previous.listed || !departure.announced}
 }
 
-// TakeDepartures returns the departures found since the last call, for VMs that don't watch the platform.
-func (f *Fleet) TakeDepartures() []Departure {
-	departures := f.newDepartures
+// TakeDepartures returns the departures found since the last call that other VMs are to be told of. firstHand says
+// whether this VM learnt the entries from the platform itself. Otherwise other VMs learn from the same source what
+// the entries show, and only what servers announced to this VM is returned.
+func (f *Fleet) TakeDepartures(firstHand bool) []Departure {
+	var departures []Departure
+	for _, departure := range f.newDepartures {
+		if firstHand || departure.announced && !f.departed[departure.ID].listed {
+			departures = append(departures, departure.Departure)
+		}
+	}
 	f.newDepartures = nil
 	return departures
 }
--- a/internal/edge/missing_test.go
+++ b/internal/edge/missing_test.go
@@ -73,3 +73,21 @@
 	g.Expect(l.HandleEvent(objects.WatchEvent{Object: objects.Object{Name: "s1", Version: 1, Value: []byte(`{"Service":"app","Address":"1:1"}`)}})).To(Succeed())
 	g.Expect(*lines).To(ConsistOf(And(ContainSubstring(`"event"=6101`), ContainSubstring(`"from"="platform"`), ContainSubstring(`"proofAgeMs"=0`))))
 }
+
+// Guards against a departure that is never reported: the VM that read it from the platform reads the platform no more
+// when its next report is made.
+func TestDepartureReadFromThePlatformIsReportedLater(t *testing.T) {
+	g := NewWithT(t)
+	network := &peerNetwork{departures: make(map[backends.Departure]int), unresponsive: make(map[string]int)}
+	fleet := backends.New()
+	fleet.Put(0, backends.Server{ID: "s1", Service: "app", Address: "1:1", Revision: 1})
+	fleet.Remove(time.Second, "s1", 4)
+	network.keepDepartures(fleet, true)
+	network.keepDepartures(fleet, false)
+	for range reportRepeats {
+		_, departed := network.takePending()
+		g.Expect(departed).To(ConsistOf(backends.Departure{ID: "s1", Revision: 4}))
+	}
+	_, departed := network.takePending()
+	g.Expect(departed).To(BeEmpty())
+}
