--- a/internal/mirror/bound_test.go
+++ b/internal/mirror/bound_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// Guards against VMs that follow one another, each in the belief that the other reads the platform, since they know
+// different VMs, of which the platform answers some no more.
+func TestDepartureIsKnownInTimeWhileVMsKnowDifferentOnes(t *testing.T) {
+	expectDepartureKnown(t, func(c *cluster, random *rand.Rand) []*vm {
+		views, known := make(map[string]map[string]bool), 0.1+0.8*random.Float64()
+		for _, v := range c.vms {
+			views[v.Name] = map[string]bool{v.Name: true}
+			for _, other := range c.vms {
+				if random.Float64() < known {
+					views[v.Name][other.Name] = true
+				}
+			}
+		}
+		c.views.Store(&views)
+		return silences["readers and most others"](c, random)
+	}, func(v *vm) { v.store.silent.Store(true) })
+}
+
 // expectDepartureKnown plays a departure in deployments of several sizes and expects that all VMs in touch with
 // the store know it in time.
 func expectDepartureKnown(t *testing.T, chosen func(*cluster, *rand.Rand) []*vm, disturb func(*vm)) {
