Admit of requests above their account's share what the others leave, over all VMs

Each VM's queue starts requests within the shares of their accounts first, but capacity is shared by all VMs: a VM where none of these waits went on starting those of an account that floods, while others waited elsewhere.

The metric of displaced requests becomes oleandershunt_admission_shed_total; waits that are shed have their own outcome. The work of a request and the least factor of a card are defined once.

--- a/internal/core/backends/capacity.go
+++ b/internal/core/backends/capacity.go
@@ -5,13 +5,11 @@
 	"math"
 	"time"
 
+	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/division"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 )
 
-// promptWorkDivisor is the number of prompt tokens that count as much work as one response token.
-const promptWorkDivisor = 8
-
 // siteKey identifies the servers that can make up complete paths within a data centre.
 type siteKey struct {
 	service, dataCentre string
@@ -109,7 +107,7 @@
 		return 0, 0
 	}
 	total = batch / seconds
-	if read := typical.Prompt * max(card.Read, minCardFactor) * pace * layers / float64(engine.Layers); engine.ReadPerSecond > 0 && read > 0 {
+	if read := typical.Prompt * max(card.Read, routes.MinCardFactor) * pace * layers / float64(engine.Layers); engine.ReadPerSecond > 0 && read > 0 {
 		total = min(total, engine.ReadPerSecond/read)
 	}
 	first = total
@@ -134,7 +132,7 @@
 	for layer := range rates.total {
 		total, free = min(total, rates.total[layer]), min(free, rates.free[layer])
 	}
-	work := float64(engine.TypicalAnswer) + float64(engine.TypicalPrompt)/promptWorkDivisor
+	work := demand.Work(float64(engine.TypicalPrompt), float64(engine.TypicalAnswer))
 	capacity := division.Capacity{Total: total * work, Free: min(free, total) * work}
 	if known, ok := sites[dataCentre]; !ok || cmp.Or(cmp.Compare(capacity.Total, known.Total), cmp.Compare(capacity.Free, known.Free)) > 0 {
 		sites[dataCentre] = capacity
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -257,17 +257,14 @@
 	return base * s.currentPace(now) * f.memoryFactor(now, s, s.requestCapacity(engine, held))
 }
 
-// minCardFactor is the minimum of the factors of a card, for configurations that have none.
-const minCardFactor = 0.1
-
 // requestMillis is the time in milliseconds that a request takes through all layers on a kind of
 // card. step is the time of one token at pace 1.
 func requestMillis(engine *routes.Engine, card routes.Card, step time.Duration, request Request) float64 {
 	prefill := 0.0
 	if engine.ReadPerSecond > 0 {
-		prefill = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, minCardFactor)
+		prefill = request.Prompt / engine.ReadPerSecond * 1000 * max(card.Read, routes.MinCardFactor)
 	}
-	return request.Answer*float64(step)/float64(time.Millisecond)*max(card.Pace, minCardFactor) + prefill
+	return request.Answer*float64(step)/float64(time.Millisecond)*max(card.Pace, routes.MinCardFactor) + prefill
 }
 
 // memoryFactor is the factor by which the cost of a server rises as its free memory shrinks.
--- a/internal/core/backends/prompts_test.go
+++ b/internal/core/backends/prompts_test.go
@@ -130,3 +130,19 @@
 	}
 	g.Expect(admitted).To(Equal(alone))
 }
+
+// Guards against the VMs of all other data centres filling a server at once: they learn its load in every
+// fourth round only, and each counted just what it had added since its own last report.
+func TestAdditionsElsewhereCountUntilTheOthersAreKnown(t *testing.T) {
+	g := NewWithT(t)
+	f := newFilledVM(10, 0.1)
+	f.SetDataCentre("b") // all servers are elsewhere
+	added := fill(f)
+	g.Expect(added).To(BeNumerically(">", 0))
+	for range 4 {
+		f.PublishUsage()
+		g.Expect(fill(f)).To(BeZero(), "the others may have added as much")
+	}
+	f.PublishUsage()
+	g.Expect(fill(f)).To(BeNumerically(">", 0), "the sum includes what they had then")
+}
--- a/internal/core/demand/demand.go
+++ b/internal/core/demand/demand.go
@@ -11,6 +11,15 @@
 	"strings"
 )
 
+// promptTokensPerUnit is how many prompt tokens are as much work as one token of a response: a prompt is
+// read many tokens at a time.
+const promptTokensPerUnit = 8
+
+// Work returns the work of a request to a model in tokens of responses.
+func Work(promptTokens, responseTokens float64) float64 {
+	return responseTokens + promptTokens/promptTokensPerUnit
+}
+
 // Key is a service and a priority of its requests; 0 is the most urgent.
 type Key struct {
 	Service  string
--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -107,10 +107,10 @@
 		return 0
 	}
 	part := float64(layers) / float64(e.Layers)
-	idle := e.ReadPerSecond / max(card.Read, minFactor) / part
+	idle := e.ReadPerSecond / max(card.Read, MinCardFactor) / part
 	rate := readShare * idle
 	if e.Chunk > 0 {
-		step := e.Step.Seconds() * max(card.Pace, minFactor) * part
+		step := e.Step.Seconds() * max(card.Pace, MinCardFactor) * part
 		rate = min(rate, e.Chunk/(step+e.Chunk/idle))
 	}
 	return rate
@@ -126,9 +126,10 @@
 	if e.Chunk > 0 {
 		steps += math.Ceil(float64(e.TypicalPrompt) / e.Chunk)
 	}
-	read := float64(e.TypicalPrompt) / e.ReadPerSecond * max(card.Read, minFactor)
-	return time.Duration(steps*float64(e.Step)*max(card.Pace, minFactor) + read*float64(time.Second))
+	read := float64(e.TypicalPrompt) / e.ReadPerSecond * max(card.Read, MinCardFactor)
+	return time.Duration(steps*float64(e.Step)*max(card.Pace, MinCardFactor) + read*float64(time.Second))
 }
 
-// minFactor bounds a card's factors: without a factor a card doesn't count as infinitely fast.
-const minFactor = 0.1
+// MinCardFactor is the minimum of a card's factors: without a factor a card doesn't count as infinitely
+// fast.
+const MinCardFactor = 0.1
--- a/internal/core/share/simulation_test.go
+++ b/internal/core/share/simulation_test.go
@@ -44,6 +44,8 @@
 	arrivals map[uint64]simRequest
 	pending  *demand.Overall
 	sumAt    time.Duration
+	// admitted are the fractions of requests that the VM admits.
+	admitted demand.Admitted
 }
 
 type simRequest struct {
@@ -162,6 +164,13 @@
 		s.marked[account]++
 		vm.counter.OverShare(s.now, simKey, simWork)
 	}
+	if s.counting {
+		s.account(account).offered++
+	}
+	if fraction := vm.admitted.Fraction(demand.Class{Key: simKey, OverShare: mark == share.Over}); fraction < 1 && s.random.Float64() >= fraction {
+		vm.counter.Refused(s.now, simKey, simWork)
+		return
+	}
 	s.nextID++
 	vm.queue.Push(s.now, queue.Item{
 		ID: s.nextID, Priority: simPriority, Account: account, Work: simWork, OverShare: mark == share.Over,
@@ -169,9 +178,6 @@
 	})
 	vm.counter.Queued(simKey, simWork)
 	vm.arrivals[s.nextID] = simRequest{account, s.now, mark, s.counting}
-	if s.counting {
-		s.account(account).offered++
-	}
 }
 
 func (s *simulation) account(name string) *served {
@@ -251,6 +257,7 @@
 		in.All, in.Counts = overall.Accounts[simKey.Service], overall.Service(simKey.Service)
 	}
 	vm.shares.Update(s.now, simKey.Service, in)
+	vm.admitted = overall.Admitted()
 	for _, id := range slices.Sorted(maps.Keys(vm.arrivals)) {
 		request := vm.arrivals[id]
 		request.mark = vm.shares.Remark(s.now, simKey.Service, request.account, simWork, request.mark)
--- a/internal/relay/admission.go
+++ b/internal/relay/admission.go
@@ -60,8 +60,8 @@
 	first bool
 	// shareMark is the mark of the request, of which work is given back if it doesn't start.
 	shareMark share.Mark
-	// displaced says that the request gives way to more urgent ones.
-	displaced bool
+	// shed says that the request is refused in favour of others.
+	shed bool
 	// key identifies a request that is new at this VM; 0 for others and without promises.
 	key promise.Key
 	// due is the time at which the caller was promised to return, if it did; 0 if not.
@@ -97,8 +97,8 @@
 	q := d.admissionQueue(w.service.Name)
 	d.claim(now, w)
 	ahead = q.queue.Ahead(now, w.item)
-	if d.givesWay(w) {
-		w.err = displacedError{}
+	if d.refusesShed(w) {
+		w.err = shedError{}
 		return admission{err: w.err}, ahead, true
 	}
 	if ahead == 0 {
@@ -259,7 +259,7 @@
 	for _, item := range q.queue.ShedLate(now) {
 		w := q.waiting[item.ID]
 		w.err = forecastError{}
-		d.admit(q, w, admission{err: w.err})
+		d.endWait(q, w, admission{err: w.err}, waitShed)
 	}
 }
 
@@ -274,7 +274,11 @@
 		result = d.tryStart(now, w)
 		w.err = result.err
 	}
-	d.admit(q, w, result)
+	outcome := waitExpired
+	if result.err == nil {
+		outcome = waitStarted
+	}
+	d.endWait(q, w, result, outcome)
 }
 
 // startNext starts the first request that can start, of the first few.
@@ -285,7 +289,7 @@
 		result := d.tryStart(now, w)
 		if result.err == nil {
 			q.queue.Remove(item.ID)
-			d.admit(q, w, result)
+			d.endWait(q, w, result, waitStarted)
 			return true
 		}
 		w.err = result.err
@@ -300,15 +304,19 @@
 	return false
 }
 
-// admit ends the wait of a request that was removed from its queue.
-func (d *Dispatcher) admit(q *admissionQueue, w *waiter, result admission) {
+// Outcomes of a wait, as counted in metrics.
+const (
+	waitStarted = "started"
+	waitExpired = "expired"
+	// waitShed: the request couldn't be in time any more.
+	waitShed = "shed"
+)
+
+// endWait ends the wait of a request that was removed from its queue.
+func (d *Dispatcher) endWait(q *admissionQueue, w *waiter, result admission, outcome string) {
 	delete(q.waiting, w.item.ID)
 	d.demand.counter.Dequeued(w.demandKey(), w.item.Work)
 	w.admitted <- result
-	outcome := "started"
-	if result.err != nil {
-		outcome = "expired"
-	}
 	metrics.GetOrCreateHistogram(fmt.Sprintf("oleandershunt_admission_wait_seconds{service=%q,outcome=%q}", q.service, outcome)).Update((d.now() - w.start).Seconds())
 }
 
--- a/internal/relay/capacity_test.go
+++ b/internal/relay/capacity_test.go
@@ -218,3 +218,43 @@
 	g.Expect(statuses).To(Equal([]int{200, 200, 200}))
 	g.Expect(small.refused.Load()).To(BeZero(), "requests offered to the full server")
 }
+
+// Guards against a busy server that is left alone for 4 s because it refused a request late: under overload
+// requests wait at servers for memory or a slot, and each such refusal took the server from the others.
+func TestALateRefusalOfABusyServerIsNoSilence(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	end := sync.OnceFunc(func() { close(release) })
+	defer end() // also after a failure, since the server waits for its handlers
+	var held atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, request *http.Request) {
+		id := request.Header.Get("X-Request-Id")
+		w.Header().Set("X-Request-Id", id)
+		switch id {
+		case "late":
+			time.Sleep(1100 * time.Millisecond)
+			w.Header().Set("X-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		case "next":
+		default:
+			held.Add(1)
+			<-release
+		}
+		w.Header().Set("X-Response-Seal", "seal")
+		_, _ = io.WriteString(w, "x")
+	}))
+	t.Cleanup(server.Close)
+	route := routes.Route{Host: "a.example", Prefix: "/", Repeat: routes.Repeatable, MaxAttempts: 2, TargetLatency: 2 * time.Second, Shares: []routes.Share{{Service: "app", Weight: 1}}}
+	vm, _, configure := newVM(t, budget.Options{Window: 10 * time.Second, MinVMs: 1}, route, routes.Service{Name: "app"}, server)
+	configure()
+	var callers sync.WaitGroup
+	for i := range 3 { // of four slots
+		callers.Go(func() { g.Expect(statusOf(g, vm, fmt.Sprint("held", i))).To(Equal(http.StatusOK)) })
+	}
+	g.Eventually(held.Load, "2s").Should(BeEquivalentTo(3))
+	g.Expect(statusOf(g, vm, "late")).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(statusOf(g, vm, "next")).To(Equal(http.StatusOK), "it waits for 0.2 s")
+	end()
+	callers.Wait()
+}
--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -27,9 +27,6 @@
 	// startShare is the share of the route's latency target within which a request must start for
 	// its first event to be in time.
 	startShare = 0.7
-	// promptWorkDivisor is how many prompt tokens are as much work as one token of a response: a
-	// prompt is read many tokens at a time.
-	promptWorkDivisor = 8
 )
 
 // waitLimits is how long a request may wait for a server.
@@ -63,7 +60,7 @@
 // would use up the shared retry budget and take time from the streams that run there.
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
 	start := time.Now()
-	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark, displaced: x.displaced}
+	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark, shed: x.shed}
 	if x.route.Stream {
 		w.target, w.gapTarget = x.route.TargetLatency, x.route.TargetGap
 	}
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -19,9 +19,9 @@
 type demandState struct {
 	counter *demand.Counter
 	shares  *share.Shares
-	// overall is the latest demand of all VMs, of which at is the time; nil without any.
-	overall *demand.Overall
-	at      time.Duration
+	// admitted are the fractions of requests that VMs admit, as of admittedAt.
+	admitted   demand.Admitted
+	admittedAt time.Duration
 }
 
 func newDemandState() demandState {
@@ -33,7 +33,7 @@
 	if x.service.Engine == nil {
 		return 1
 	}
-	return float64(x.call.PromptTokens)/promptWorkDivisor + answerTokens(x)
+	return demand.Work(float64(x.call.PromptTokens), answerTokens(x))
 }
 
 func (x *exchange) demandKey() demand.Key {
@@ -53,7 +53,7 @@
 	d.budget.CountRequest(now, key.Service)
 	d.demand.counter.Offered(now, key, x.account.Name, work)
 	x.shareMark = d.demand.shares.Mark(now, key.Service, x.account.Name, work)
-	x.displaced = d.displaced(now, key)
+	x.shed = d.shed(now, demand.Class{Key: key, OverShare: x.shareMark == share.Over})
 	countWork("offered", key, work)
 	if x.shareMark == share.Over {
 		d.demand.counter.OverShare(now, key, work)
@@ -61,23 +61,24 @@
 	}
 }
 
-// displaced draws whether a request gives way to more urgent ones, which other VMs refuse. It must be
-// called with the lock held.
-func (d *Dispatcher) displaced(now time.Duration, key demand.Key) bool {
-	if d.demand.overall == nil || now > d.demand.at+share.Lifetime {
+// shed draws whether a request is refused so that others which VMs refuse get its capacity: more urgent
+// ones, and for a request above its account's share those within theirs. It must be called with the lock
+// held.
+func (d *Dispatcher) shed(now time.Duration, class demand.Class) bool {
+	if now > d.demand.admittedAt+share.Lifetime {
 		return false
 	}
-	fraction := d.demand.overall.AdmittedFraction(key)
+	fraction := d.demand.admitted.Fraction(class)
 	return fraction < 1 && rand.Float64() >= fraction
 }
 
-// givesWay reports whether a request is refused in favour of more urgent ones. Those that return at
-// their promised time don't give way.
-func (d *Dispatcher) givesWay(w *waiter) bool {
-	if !w.displaced || !w.first || w.item.Resume || w.item.Claimed {
+// refusesShed reports whether a request is refused since it was shed. Requests that return at their
+// promised time and streams that have begun aren't.
+func (d *Dispatcher) refusesShed(w *waiter) bool {
+	if !w.shed || !w.first || w.item.Resume || w.item.Claimed {
 		return false
 	}
-	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_admission_displaced_total{service=%q,priority=\"%d\"}", w.service.Name, w.item.Priority)).Inc()
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_admission_shed_total{service=%q,priority=\"%d\",over_share=\"%t\"}", w.service.Name, w.item.Priority, w.item.OverShare)).Inc()
 	return true
 }
 
@@ -129,7 +130,7 @@
 // It must be called with the lock held.
 func (d *Dispatcher) divideServices(overall *demand.Overall) {
 	now := d.now()
-	d.demand.overall, d.demand.at = overall, now
+	d.demand.admitted, d.demand.admittedAt = overall.Admitted(), now
 	local := d.demand.counter.Report(now)
 	totals := demand.Totals(local.Counts)
 	d.demand.shares.Retain(totals)
--- a/internal/relay/division_test.go
+++ b/internal/relay/division_test.go
@@ -57,6 +57,7 @@
 // tell applies tallies in which the demand at home is a multiple of the capacity, and the memory of
 // the servers at home is used.
 func (r *divisionRig) tell(multiple float64) {
+	r.d.demand.counter.Offered(r.now, demand.Key{Service: "llm"}, "", 1)
 	r.d.ApplyTally(tally.Tally{
 		VMs:   1,
 		Loads: map[string]backends.Usage{"a1": {Memory: r.usedMemory(multiple)}},
@@ -112,6 +113,17 @@
 	r.Expect(r.handler.choiceRequest(x).Preferred).To(Equal("a"), "its data centre was lost")
 }
 
+// Guards against an idle VM that goes through thousands of servers although it gets no requests.
+func TestAnIdleVMCalculatesNoCapacities(t *testing.T) {
+	r := newDivisionRig(t, divisionEngine())
+	r.d.ApplyTally(tally.Tally{VMs: 1, Overall: &demand.Overall{DataCentres: map[string]map[demand.Key]demand.Rate{
+		"a": {}, "b": {{Service: "llm"}: {Offered: 1000}},
+	}}})
+	r.Expect(r.d.division.capacities).To(BeNil())
+	r.tell(0.8)
+	r.Expect(r.d.division.capacities).NotTo(BeNil())
+}
+
 // Guards against a plan by capacities that were calculated before a server was lost.
 func TestCapacityIsCalculatedAnew(t *testing.T) {
 	r := newDivisionRig(t, divisionEngine())
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -129,8 +129,8 @@
 	account routes.Account
 	// shareMark says how the request stands to its account's share of the service.
 	shareMark share.Mark
-	// displaced says that the request gives way to more urgent ones.
-	displaced bool
+	// shed says that the request is refused in favour of others.
+	shed bool
 	// startCounted says that a server was chosen for the request, which counts as its start.
 	startCounted bool
 	body         []byte
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -18,8 +18,8 @@
 
 // servePlain serves a request whose response is a single body.
 func (h *Handler) servePlain(x *exchange) {
-	patience := time.Duration(pathWaitShare * float64(x.route.TargetLatency))
-	wait := waitLimits{path: patience, capacity: patience}
+	maxWait := time.Duration(pathWaitShare * float64(x.route.TargetLatency))
+	wait := waitLimits{path: maxWait, capacity: maxWait}
 	reason := ReasonNoServer
 	for {
 		o, err := h.choose(x, wait)
@@ -47,7 +47,7 @@
 			h.refuse(x, x.heldRefusal())
 			return
 		}
-		reason, wait = refusalReason(result), waitLimits{capacity: max(patience-time.Since(x.start), 0)}
+		reason, wait = refusalReason(result), waitLimits{capacity: max(maxWait-time.Since(x.start), 0)}
 		if result != responded && !h.mayRetry(x, result) {
 			h.refuse(x, h.finalRefusal(x, reason))
 			return
--- a/internal/relay/promises.go
+++ b/internal/relay/promises.go
@@ -29,15 +29,15 @@
 // Unwrap implements errors.Unwrap.
 func (forecastError) Unwrap() error { return backends.ErrFull }
 
-// displacedError is the reason why a request isn't queued: more urgent ones need the capacity.
-type displacedError struct{}
+// shedError is the reason why a request isn't queued: others of the service need the capacity.
+type shedError struct{}
 
-func (displacedError) Error() string {
-	return "backend servers are full and more urgent requests are refused: come back, or let more servers take requests"
+func (shedError) Error() string {
+	return "backend servers are full, and more urgent requests or those of other accounts are refused: come back, or let more servers take requests"
 }
 
 // Unwrap implements errors.Unwrap.
-func (displacedError) Unwrap() error { return backends.ErrFull }
+func (shedError) Unwrap() error { return backends.ErrFull }
 
 // promisesReturn reports whether callers of a request are told when to return, and refused at once if
 // they would wait in vain. Requests without a latency target aren't queued.
