--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -270,6 +270,7 @@
 func (d *Dispatcher) ForgetDemand() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.parts = nil
 	d.fleet.SetDemand(d.now(), nil)
 	d.divideServices(nil)
 }
--- a/internal/relay/division.go
+++ b/internal/relay/division.go
@@ -83,10 +83,10 @@
 
 // divide makes a new plan. It must be called with the lock held.
 func (d *Dispatcher) divide(byDataCentre map[string]map[string]division.Demand) {
-	if d.table == nil {
-		return
-	}
 	s, now := &d.division, d.now()
+	if d.table == nil || len(d.demand.counter.Report(now).Counts) == 0 && !s.divider.Divides() {
+		return // a VM without requests needs no plan, and there may be thousands of servers
+	}
 	refresh := s.capacities == nil || s.divider.Divides() || now-s.capacitiesAt >= capacityInterval
 	if refresh {
 		s.capacities, s.capacitiesAt = d.fleet.Capacities(now, d.services()), now
