--- a/internal/soak/floods.go
+++ b/internal/soak/floods.go
@@ -16,6 +16,8 @@
 	floodPerSecond = 300
 	// floodFor is how much longer than its fault a flood lasts.
 	floodFor = 5 * time.Second
+	// floodRecovery is how long after a flood requests may still be refused for it.
+	floodRecovery = 2 * time.Second
 	// floodAbandoned is the fraction of a flood's requests that their callers abandon while most
 	// requests wait in queues.
 	floodAbandoned = 0.25
@@ -36,7 +38,7 @@
 	maxQueueWait = 1500 * time.Millisecond
 )
 
-// flood is a flood by one account.
+// flood is a flood by one account, or by all if account is empty.
 type flood struct {
 	account  string
 	from, to time.Time
@@ -60,17 +62,28 @@
 		}
 		w.callers.sendOne(random, sender, floodAbandoned)
 	}
-	if f.Kind == FloodOne {
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		w.facts.floods = append(w.facts.floods, flood{account, from, time.Now()})
+	if f.Kind == FloodAll {
+		account = ""
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.facts.floods = append(w.facts.floods, flood{account, from, time.Now()})
+}
+
+// isFlooded reports whether a request was sent while requests exceed what the servers can serve.
+func (f *observations) isFlooded(r request) bool {
+	return slices.ContainsFunc(f.floods, func(flood flood) bool {
+		return r.sent.After(flood.from) && r.sent.Before(flood.to.Add(floodRecovery))
+	})
 }
 
 // checkFloods finds accounts within their share that are served too little while another one floods.
 func (f *observations) checkFloods() []finding {
 	var found []finding
 	for _, flood := range f.floods {
+		if flood.account == "" {
+			continue // no account is within its share
+		}
 		for _, service := range []string{standin.PlainService, standin.ModelService} {
 			found = append(found, f.checkFlood(flood, service)...)
 		}
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -77,11 +77,12 @@
 }
 
 // checkCutOff compares what is served by the VMs that are cut off from the servers with the others,
-// from the contact time after the cut on.
+// from the contact time after the cut on. What is refused as overloaded in a flood doesn't show the cut: the VM that
+// gets most of the requests refuses most of them.
 func (f *observations) checkCutOff() []finding {
 	var cut, others served
 	for _, r := range f.requests {
-		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) {
+		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || r.reason == "overloaded" && f.isFlooded(r) {
 			continue
 		}
 		switch {
