--- a/internal/soak/floods.go
+++ b/internal/soak/floods.go
@@ -70,8 +70,12 @@
 	w.facts.floods = append(w.facts.floods, flood{account, from, time.Now()})
 }
 
-// isFlooded reports whether a request was sent while requests exceed what the servers can serve.
-func (f *observations) isFlooded(r request) bool {
+// isRefusedForAFlood reports whether a request was refused for lack of capacity, of the servers or the VM, while
+// requests exceed what these can serve.
+func (f *observations) isRefusedForAFlood(r request) bool {
+	if r.reason != "overloaded" && r.reason != "vm_busy" {
+		return false
+	}
 	return slices.ContainsFunc(f.floods, func(flood flood) bool {
 		return r.sent.After(flood.from) && r.sent.Before(flood.to.Add(floodRecovery))
 	})
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -76,13 +76,17 @@
 	return v.setLinks(cutlink.Up)
 }
 
+// refusedOnAllVMs are the reasons of refusals that don't depend on a VM's links: contents that end servers, and rates
+// that servers set.
+var refusedOnAllVMs = map[string]bool{"crashes_servers": true, "held_back": true, "servers_limited": true}
+
 // checkCutOff compares what is served by the VMs that are cut off from the servers with the others,
-// from the contact time after the cut on. What is refused as overloaded in a flood doesn't show the cut: the VM that
-// gets most of the requests refuses most of them.
+// from the contact time after the cut on. What is refused for a flood doesn't show the cut: the VM that gets most of
+// the requests refuses most of them.
 func (f *observations) checkCutOff() []finding {
 	var cut, others served
 	for _, r := range f.requests {
-		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || r.reason == "overloaded" && f.isFlooded(r) {
+		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || f.isRefusedForAFlood(r) || refusedOnAllVMs[r.reason] {
 			continue
 		}
 		switch {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,6 +63,9 @@
 	// FloodOne: one account sends many times its usual load. FloodAll: all accounts do.
 	FloodOne Kind = "flood_one"
 	FloodAll Kind = "flood_all"
+	// StoreSilence: the store answers nobody for seconds, and just after VMs must be in touch again a server's
+	// entry is removed, without a word of the server, which serves on for a time.
+	StoreSilence Kind = "store_silence"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -86,6 +89,12 @@
 	crashKinds  = []Kind{CrashingBody, CrashingPart, Skew}
 )
 
+// Every silentStore-th seed, counted from silentStoreFirst, has one StoreSilence: what happens in it excuses much.
+const (
+	silentStore      = 3
+	silentStoreFirst = 1
+)
+
 // floodKinds are in the plans of all seeds: a flood excuses no lost request.
 var floodKinds = []Kind{FloodOne, FloodAll}
 
@@ -144,6 +153,9 @@
 		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 		plan = append(plan, rarePlan(crashKinds, seed, 5, within)...)
 	}
+	if seed%silentStore == silentStoreFirst {
+		plan = append(plan, Fault{At: within, For: minFaultTime, Kind: StoreSilence, Target: int(seed)}) // after all others
+	}
 	plan = append(plan, floodPlan(seed, within)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
