--- a/internal/mirror/bound_test.go
+++ b/internal/mirror/bound_test.go
@@ -160,6 +160,22 @@
 	return calls
 }
 
+// asked returns the number of requests that each VM got from others.
+func (c *cluster) asked() []int64 {
+	counts := make([]int64, len(c.vms))
+	for i, v := range c.vms {
+		counts[i] = v.asked.Load()
+	}
+	return counts
+}
+
+func maxAdded(before, after []int64) (most int64) {
+	for i := range before {
+		most = max(most, after[i]-before[i])
+	}
+	return most
+}
+
 // playOutage lets the store fall silent, removes a server's entry meanwhile and returns how long after the
 // store's return the last VM knows it.
 func playOutage(t *testing.T, sizes []int, random *rand.Rand) time.Duration {
@@ -172,9 +188,10 @@
 		c.store.wake()
 	}
 	setSilent(true)
-	before := c.calls()
+	calls := c.calls()
+	asked := c.asked()
 	time.Sleep(outageTime)
-	t.Logf("%d calls of the store in an outage of %s", c.calls()-before, outageTime)
+	t.Logf("%d calls of the store in an outage of %s, %d requests at the VM that got most", c.calls()-calls, outageTime, maxAdded(asked, c.asked()))
 	c.store.set("s1", true)
 	time.Sleep(time.Millisecond) // the waiting watches look at the change and stay without an answer
 	setSilent(false)
