Show that a request under which servers go dark is never found out

Cause: a model server that sends no report and to which no VM connects is marked as unresponsive and its streams are moved, but the loss counts against nothing that a stream contains.

Change: review/3 is this case now, which needs no disturbance of a VM.

--- a/review/_standins/crash.go
+++ b/review/_standins/crash.go
@@ -76,7 +76,7 @@
 				"service": portal, "maxAttempts": 2, "authExempt": false,
 			},
 			map[string]any{
-				"name": "r-upload", "host": host, "pathPrefix": uploadPrefix, "routeType": "unsafe", "timeoutMs": 15000, "targetLatencyMs": 6000, "priority": 2,
+				"name": "r-upload", "host": host, "pathPrefix": uploadPrefix, "routeType": "unsafe", "timeoutMs": 20000, "targetLatencyMs": 12000, "priority": 2,
 				"service": portal, "maxAttempts": 1, "authExempt": false,
 			},
 		},
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -13,7 +13,7 @@
 	exitUnable = 2
 )
 
-var errUsage = errors.New("usage: review-standins runner | crash RECORD | memory RECORD | again RECORD")
+var errUsage = errors.New("usage: review-standins runner | crash RECORD | memory RECORD | dark RECORD")
 
 func main() {
 	if len(os.Args) < 2 {
@@ -27,7 +27,7 @@
 		}
 		return
 	}
-	cases := map[string]func(*world) (broken int, err error){"crash": playCrash, "memory": playMemory, "again": playAgain}
+	cases := map[string]func(*world) (broken int, err error){"crash": playCrash, "memory": playMemory, "dark": playDark}
 	play, ok := cases[os.Args[1]]
 	if !ok || len(os.Args) < 3 {
 		fmt.Fprintln(os.Stderr, errUsage)
--- a/review/_standins/runner.go
+++ b/review/_standins/runner.go
@@ -29,14 +29,8 @@
 	bodyBytes int
 }
 
-// A request of crashingPath crashes the server that runs it, crashDelay after it began.
-const (
-	crashingPath = portalPrefix + "crash/"
-	crashDelay   = 40 * time.Millisecond
-	crashStatus  = 70
-	// uploadWork is the work of a request of uploadPrefix.
-	uploadWork = 400 * time.Millisecond
-)
+// uploadWork is the work of a request of uploadPrefix.
+const uploadWork = time.Second
 
 func runRunner(arguments []string) error {
 	var o runnerOptions
@@ -108,11 +102,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if strings.HasPrefix(r.URL.Path, crashingPath) {
-		_, _ = fmt.Fprintf(log, "%d run %s, which crashes the server\n", time.Now().UnixNano(), id)
-		time.Sleep(crashDelay)
-		os.Exit(crashStatus)
-	}
 	body := wholeBody(id, o.bodyBytes)
 	unframed := rand.Float64() < o.unframed && o.garbles(time.Now())
 	_, _ = fmt.Fprintf(log, "%d run %s unframed=%t\n", time.Now().UnixNano(), id, unframed)
--- a/review/_standins/world.go
+++ b/review/_standins/world.go
@@ -91,6 +91,8 @@
 	beats    map[string]time.Time
 	done     chan struct{}
 	work     string
+	// heartbeat is the interval of the servers\' heartbeats.
+	heartbeat time.Duration
 }
 
 func newWorld(record *recorder) (*world, error) {
@@ -98,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{record: record, folder: folder, store: standin.NewStore(), beats: make(map[string]time.Time), done: make(chan struct{}), work: "900ms"}
+	w := &world{record: record, folder: folder, store: standin.NewStore(), beats: make(map[string]time.Time), done: make(chan struct{}), work: "900ms", heartbeat: heartbeat}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -259,7 +261,7 @@
 		"listenAddresses": map[string]string{"front": m.front, "ready": m.ready, "control": m.control},
 		"internalPorts":   []int{m.operations, m.operations}, "seedNodes": seeds, "bootstrap": first, "faultCounted": false,
 		"limits":  map[string]any{"cpuShare": 0.4, "cpuCores": 1, "memoryMb": memoryMB, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0},
-		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": heartbeat.Milliseconds(),
+		"dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": w.heartbeat.Milliseconds(),
 		"contracts":      []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform", "layers"},
 		"faultTolerance": map[string]int{"machines": 2, "zones": 1, "regions": 0},
 		"bounds": map[string]any{
