Log and count the ends of a request that left no line, and what holds a process up

A panic of a request's goroutine was written by net/http as text without the request's ID, and counted nowhere; a write to the caller that failed while its connection was not seen to close left neither line nor counter. Both have an event (4232, 4233) and a counter now.

--- a/cmd/oleandershunt/forward.go
+++ b/cmd/oleandershunt/forward.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"os"
 
+	"oleandershunt.example/oleandershunt/internal/telemetry"
 	"oleandershunt.example/oleandershunt/platform"
 )
 
@@ -15,5 +16,5 @@
 
 // Run implements the forward command.
 func (c *forwardCommand) Run(ctx context.Context) error {
-	return platform.Serve(ctx, newLogger(os.Stdout, slog.LevelInfo), c.Settings)
+	return platform.Serve(ctx, newLogger(telemetry.MeasuredWriter(os.Stdout), slog.LevelInfo), c.Settings)
 }
--- a/internal/edge/saturation.go
+++ b/internal/edge/saturation.go
@@ -22,6 +22,10 @@
 // roleRotation ranks the VMs of a data centre for staying in the balancer's rotation.
 const roleRotation = "rotation"
 
+// minStandstill is the delay of a timer from which the process is logged to have stood still. A VM with a
+// processor share may be stopped for 100 ms.
+const minStandstill = 500 * time.Millisecond
+
 // saturationMonitor measures what the process uses, and says whether the VM is saturated. Without
 // limits in the settings it measures nothing.
 type saturationMonitor struct {
@@ -118,6 +122,9 @@
 
 // observe takes a sample at a time.
 func (m *saturationMonitor) observe(now, delay time.Duration, limits vmlimits.Limits) {
+	if delay >= minStandstill {
+		telemetry.VMStoodStill.Log(m.log, "ms", delay.Milliseconds())
+	}
 	sample := m.read()
 	sample.TimerDelay = delay
 	m.mu.Lock()
--- /dev/null
+++ b/internal/relay/ends.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"runtime/debug"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"oleandershunt.example/oleandershunt/internal/telemetry"
+)
+
+// maxStackBytes bounds the stack in the log line of a panic.
+const maxStackBytes = 4 << 10
+
+// closeOnPanic logs and counts a panic of a request's goroutine and closes the caller's connection.
+// Without it, net/http would write the panic as text without the request's ID.
+func (h *Handler) closeOnPanic(x *exchange) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if cause != http.ErrAbortHandler {
+		stack := debug.Stack()
+		metrics.GetOrCreateCounter("oleandershunt_relay_panics_total").Inc()
+		telemetry.RelayPanicked.Log(h.Log, append(x.logFields(), "cause", fmt.Sprint(cause), "stack", string(stack[:min(len(stack), maxStackBytes)]))...)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// recordUnwritten records that a response, or a part of it, could not be written to the caller.
+func (h *Handler) recordUnwritten(x *exchange, err error) {
+	if h.callerLeft(x, err) {
+		return
+	}
+	metrics.GetOrCreateCounter("oleandershunt_relay_write_failures_total").Inc()
+	telemetry.RelayUnwritten.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(err))...)
+}
+
+// Causes for which this VM ends an attempt whose server might still respond.
+const (
+	endedStalled    = "stalled"     // it waits for a server that is silent
+	endedAnswerLost = "answer_lost" // its first server has nothing queued and waits for nobody
+	endedPathLost   = "path_lost"   // other VMs connect to its first server, this one doesn't
+)
+
+// countEnded counts an attempt that this VM ended.
+func countEnded(cause string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_attempts_ended_total{cause=%q}", cause)).Inc()
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -183,6 +183,7 @@
 	h.inFlight.Add(1)
 	defer h.inFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), call: h.Wire.Read(r)}
+	defer h.closeOnPanic(x)
 	refused := h.refuseSaturated(x)
 	if refused == nil {
 		refused = h.admit(x)
--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -38,7 +38,7 @@
 		return
 	}
 	if err != nil {
-		if w.endForResumeLocked() {
+		if w.endForResumeLocked(endedStalled) {
 			telemetry.RelayNotMoved.Log(w.h.Log, "request", w.x.call.ID, "blamed", faulty, "cause", err.Error())
 		}
 		return
@@ -95,7 +95,7 @@
 // for a retry, those without one would be cut although some of their servers respond again
 // after a moment. Together with a configuration change, such a response would be lost without
 // need.
-func (w *watchdog) endForResumeLocked() bool {
+func (w *watchdog) endForResumeLocked(cause string) bool {
 	if w.retryReserved {
 		return true
 	}
@@ -103,6 +103,7 @@
 	request := w.request
 	request.Avoid = append(w.avoidedLocked(), first)
 	if w.reserveRetryLocked(request, first) {
+		countEnded(cause)
 		w.o.cancel(errStalled)
 		return true
 	}
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -207,6 +207,7 @@
 	request.Avoid = w.avoidedLocked()
 	if w.reserveRetryLocked(request, first.ID) {
 		telemetry.RelayPathLost.Log(w.h.Log, "request", w.x.call.ID, "server", first.ID)
+		countEnded(endedPathLost)
 		w.o.cancel(errPathLost)
 		return
 	}
@@ -287,6 +288,7 @@
 		time.AfterFunc(lostPathSilence-silence, p.endIfPathLost)
 		return
 	}
+	countEnded(endedPathLost)
 	p.o.cancel(errPathLost)
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -101,8 +101,10 @@
 		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	x.w.WriteHeader(o.response.StatusCode)
-	// A write error means that the caller has disconnected.
-	_, _ = x.w.Write(body)
+	if _, err := x.w.Write(body); err != nil {
+		h.recordUnwritten(x, err)
+		return
+	}
 	x.timing.recordDelivery(x.start, 0)
 	h.recordCompleted(x, o, o.response.StatusCode)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -106,7 +106,11 @@
 		h.recordCompleted(x, o, http.StatusOK)
 		return responded, true
 	}
-	if h.callerLeft(x, err) || errors.Is(err, errCallerGone) {
+	if errors.Is(err, errCallerGone) {
+		h.recordUnwritten(x, err)
+		return uncertain, true
+	}
+	if h.callerLeft(x, err) {
 		return uncertain, true
 	}
 	h.logFailedResponse(x, o, err)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -202,7 +202,7 @@
 	w.h.Dispatcher.suspect(first.ID, suspectAfterLostResponse)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended && w.endForResumeLocked() {
+	if !w.ended && w.endForResumeLocked(endedAnswerLost) {
 		w.faulty = append(w.faulty, first.ID)
 		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID)
 	}
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -32,6 +32,8 @@
 	PauseUnread         = Event{4218, "pause that a backend server asks for can't be read"}
 	RelayWithheld       = Event{4220, "attempt withheld: its backend server wants no more requests"}
 	StreamsLimited      = Event{4227, "streams of a service are limited"}
+	RelayPanicked       = Event{4232, "request's goroutine panicked; its connection is closed"}
+	RelayUnwritten      = Event{4233, "answer can't be written to the caller"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
@@ -42,6 +44,8 @@
 	RelaySettingsRead  = Event{1101, "settings read again"}
 	VMSaturated        = Event{1103, "VM has reached one of its limits; it refuses new requests"}
 	VMUnsaturated      = Event{1104, "VM is below its limits again"}
+	VMStoodStill       = Event{1105, "process stood still"}
+	ServerError        = Event{1106, "HTTP server reports an error"}
 	RelaySettingsBad   = Event{1102, "settings can't be read; the former stay"}
 	RelayServers       = Event{6101, "backend servers changed"}
 	PeerUnread         = Event{6102, "word of another VM can't be read"}
