--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -66,6 +66,8 @@
 	// StoreSilence: the store answers nobody for seconds, and just after VMs must be in touch again a server's
 	// entry is removed, without a word of the server, which serves on for a time.
 	StoreSilence Kind = "store_silence"
+	// ServerMute: a model server is sound, but streams through it pause.
+	ServerMute Kind = "server_mute"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -153,6 +155,9 @@
 		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 		plan = append(plan, rarePlan(crashKinds, seed, 5, within)...)
 	}
+	if calm {
+		plan = append(plan, mutePlan(seed, within)...)
+	}
 	if seed%silentStore == silentStoreFirst {
 		plan = append(plan, Fault{At: within, For: minFaultTime, Kind: StoreSilence, Target: int(seed)}) // after all others
 	}
@@ -174,6 +179,26 @@
 	}
 }
 
+const (
+	// meanMuteInterval is the mean time between two pauses of sound servers, and maxMuteTime the longest
+	// pause: callers wait for two seconds.
+	meanMuteInterval = 1500 * time.Millisecond
+	maxMuteTime      = 1600 * time.Millisecond
+)
+
+// mutePlan returns pauses of sound servers.
+func mutePlan(seed uint64, within time.Duration) []Fault {
+	random := rand.New(rand.NewPCG(seed, 7))
+	var plan []Fault
+	for at := time.Duration(0); ; {
+		at += time.Duration(random.ExpFloat64() * float64(meanMuteInterval))
+		if at >= within {
+			return plan
+		}
+		plan = append(plan, Fault{At: at, For: minFaultTime + time.Duration(random.Int64N(int64(maxMuteTime-minFaultTime))), Kind: ServerMute, Target: random.IntN(1 << 16)})
+	}
+}
+
 // floodPlan returns one flood of each kind, in the two halves of the time. Floods don't overlap: an
 // account is within its share only while no other flood runs.
 func floodPlan(seed uint64, within time.Duration) []Fault {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -129,6 +129,7 @@
 	if card != "" {
 		options.Service, options.Card, options.Layers = standin.ModelService, card, standin.ModelLayers
 		options.Slots, options.Event, options.LoadTime, options.Stall = modelSlots, 15*time.Millisecond, time.Second, 2*time.Second
+		options.Queues = false
 	}
 	s := &server{proxy: way}
 	options.OnCrash = func(content string) { w.crash(s, content) }
