Keep a silent attempt until another one delivers events

Callers saw streams cut although the servers that ran them were sound: silent for a second, or not silent at all, where no other server took the request.

Cause: a stream whose path was silent, or through a server that another VM took for silent, was ended as soon as another path had room by this VM's own view. Whether a server takes it was found out afterwards. What worked was ended before its replacement was certain, on evidence that a sound server can give.

Change: another attempt is made beside the silent one, from the last event on. The one that delivers events first goes on, and the other is ended; a stream is cut only when each of its attempts has ended by itself. Streams that go on are not touched on another VM's word. A plain request is given up for a lost path only once a retry is reserved (TestAResponseIsAwaitedOverALostPathWithoutARetry, 502 before). Events 4234 and 4235 and a counter tell what became of each.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -70,22 +69,32 @@
 	sent atomic.Pointer[wire.Sent]
 	// pace reports the attempt's progress to the limiter of its service. Nil without one.
 	pace *attemptPace
+	// events is the reader of the response if something was read ahead.
+	events *eventReader
 }
 
-// recordProgress reports to the watchdog that the attempt delivered events.
-func (o *openAttempt) recordProgress() {
+// claimDelivery reports whether events of the attempt may be written to the caller: no other attempt has
+// taken over, and none does until recordDelivered.
+func (o *openAttempt) claimDelivery() bool { return o.watchdog == nil || o.watchdog.claimDelivery() }
+
+// recordDelivered records what the caller has now.
+func (o *openAttempt) recordDelivered(x *exchange) {
 	if o.watchdog != nil {
-		o.watchdog.recordProgress()
+		o.watchdog.recordDelivered(x.delivered, x.timing.lastEvent)
 	}
 }
 
-// stopWatchdog stops the watchdog; choice and load don't change afterwards.
-func (o *openAttempt) stopWatchdog() {
+// stopWatchdog stops the watchdog and adds what it found to the request; choice and load don't change
+// afterwards.
+func (o *openAttempt) stopWatchdog(x *exchange) {
 	if o.watchdog != nil {
-		o.watchdog.stop()
+		o.watchdog.stop(x)
 	}
 }
 
+// replaced reports whether another attempt has taken over.
+func (o *openAttempt) replaced() bool { return o.watchdog != nil && o.watchdog.isReplaced() }
+
 func (o *openAttempt) close(d *Dispatcher) {
 	o.cancel(nil)
 	if o.response != nil {
@@ -104,11 +113,11 @@
 	start := time.Now()
 	response, sent, err := h.roundTrip(x, o)
 	if sent.Withheld() {
-		o.stopWatchdog()
+		o.stopWatchdog(x)
 		return h.handleWithheld(x, o)
 	}
 	if err != nil {
-		o.stopWatchdog()
+		o.stopWatchdog(x)
 		return h.handleNoResponse(x, o, sent.Any(), err)
 	}
 	o.response = response
@@ -117,11 +126,11 @@
 	h.Dispatcher.recordExecution(o, head)
 	h.recordResponse(x, o, head)
 	if head.NotRun {
-		o.stopWatchdog()
+		o.stopWatchdog(x)
 		return h.handleNotExecuted(x, o, head, time.Since(start))
 	}
 	if problem := validateHead(x, response, head); problem != "" {
-		o.stopWatchdog()
+		o.stopWatchdog(x)
 		telemetry.RelayAttemptFailed.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "cause", problem)...)
 		x.recordFailure(o.choice)
 		return uncertain
@@ -177,6 +186,12 @@
 		}
 		return notExecuted
 	}
+	if o.replaced() {
+		if sent {
+			h.recordBroken(x, o, err)
+		}
+		return uncertain
+	}
 	telemetry.RelayAttemptFailed.Log(h.Log, append(x.logFields(), "server", o.choice.First.ID, "sent", sent, "cause", err.Error())...)
 	if !sent {
 		if !h.isolated(x) {
@@ -227,21 +242,6 @@
 	return notExecuted
 }
 
-// recordFailure records that a server may have run the request and did not return a valid
-// response.
-func (x *exchange) recordFailure(choice backends.Choice) {
-	x.avoid = append(x.avoid, choice.First.ID)
-	x.recordRan(choice)
-}
-
-// recordRan records that a server may have run the request.
-func (x *exchange) recordRan(choice backends.Choice) {
-	x.mayHaveRun = true
-	if !slices.Contains(x.ranOn, choice.First.ID) && !slices.Contains(x.cutByDrain, choice.First.ID) {
-		x.ranOn = append(x.ranOn, choice.First.ID)
-	}
-}
-
 // validateHead returns what is wrong with the head of a response, or "" if it is valid.
 func validateHead(x *exchange, response *http.Response, head ResponseInfo) string {
 	switch {
--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -37,13 +37,6 @@
 	telemetry.RelayUnwritten.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(err))...)
 }
 
-// Causes for which this VM ends an attempt whose server might still respond.
-const (
-	endedStalled    = "stalled"     // it waits for a server that is silent
-	endedAnswerLost = "answer_lost" // its first server has nothing queued and waits for nobody
-	endedPathLost   = "path_lost"   // other VMs connect to its first server, this one doesn't
-)
-
 // countEnded counts an attempt that this VM ended.
 func countEnded(cause string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_attempts_ended_total{cause=%q}", cause)).Inc()
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -3,9 +3,63 @@
 import (
 	"bytes"
 	"fmt"
+	"io"
 	"strconv"
 )
 
+// readBufferBytes is the size of the read buffer of a stream; an event has about 100 bytes.
+const readBufferBytes = 4 << 10
+
+// eventReader reads the events of a response.
+type eventReader struct {
+	body   io.Reader
+	buffer []byte
+	*eventSplitter
+	// ahead is what was read ahead, until it is returned.
+	ahead *eventsRead
+}
+
+// eventsRead is the result of one read: complete events, and the error after them.
+type eventsRead struct {
+	events []byte
+	err    error
+}
+
+// newEventReader returns a reader of the events that follow the one with an ID.
+func newEventReader(body io.Reader, after string) *eventReader {
+	return &eventReader{body: body, buffer: make([]byte, readBufferBytes), eventSplitter: newEventSplitter(after)}
+}
+
+// next reads once. It returns the events that are complete, which may be none, and the error that
+// follows them.
+func (r *eventReader) next() ([]byte, error) {
+	if ahead := r.ahead; ahead != nil {
+		r.ahead = nil
+		return ahead.events, ahead.err
+	}
+	n, readErr := r.body.Read(r.buffer)
+	complete, err := r.feed(r.buffer[:n])
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadEvents, err)
+	}
+	return complete, readErr
+}
+
+// readAhead reads until there is an event, which next returns then, or returns the error if there is
+// none.
+func (r *eventReader) readAhead() error {
+	for {
+		events, err := r.next()
+		if len(events) > 0 {
+			r.ahead = &eventsRead{events: events, err: err}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
 // eventSplitter splits a stream of server-sent events into complete events and checks the order
 // of their IDs.
 type eventSplitter struct {
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -152,9 +152,9 @@
 	if x.begun || x.events < begunEvents {
 		return
 	}
-	x.begun = true
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
+	x.begun = true
 	h.clearContents(x)
 }
 
--- a/internal/relay/late.go
+++ b/internal/relay/late.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -31,7 +30,7 @@
 	// longestWrite is the longest time that writing events to the caller took.
 	longestWrite time.Duration
 	// moves counts the moves to another path.
-	moves atomic.Int32
+	moves int
 }
 
 // recordDelivery records that events were forwarded; write is how long writing them to the
@@ -76,7 +75,7 @@
 		return lateCaller
 	case x.sends > 1:
 		return lateRetry
-	case t.moves.Load() > 0:
+	case t.moves > 0:
 		return lateMove
 	case firstEventLate:
 		return lateFirstEvent
@@ -98,6 +97,6 @@
 	t := &x.timing
 	telemetry.RelayLate.Log(h.Log, append(x.logFields(), "cause", cause, "firstMs", t.firstEvent.Milliseconds(),
 		"roomMs", t.capacityWait.Milliseconds(), "gapMs", t.longestGap.Milliseconds(), "writeMs", t.longestWrite.Milliseconds(),
-		"moves", t.moves.Load(), "server", o.choice.First.ID, "taken", o.choice.RequestsOnFirst, "slots", o.choice.First.Slots,
+		"moves", t.moves, "server", o.choice.First.ID, "taken", o.choice.RequestsOnFirst, "slots", o.choice.First.Slots,
 		"path", o.choice.Path.String())...)
 }
--- a/internal/relay/late_test.go
+++ b/internal/relay/late_test.go
@@ -31,9 +31,9 @@
 		"a move off a failed server":    {firstEvent: 50 * ms, gap: 900 * ms, sends: 1, moves: 1, cause: lateMove},
 	} {
 		t.Run(name, func(t *testing.T) {
-			x := &exchange{route: routes.Route{TargetLatency: 600 * ms, TargetGap: 300 * ms}, sends: c.sends}
+			x := &exchange{route: routes.Route{TargetLatency: 600 * ms, TargetGap: 300 * ms}, attemptHistory: attemptHistory{sends: c.sends}}
 			x.timing.firstEvent, x.timing.capacityWait, x.timing.longestGap, x.timing.longestWrite = c.firstEvent, c.capacityWait, c.gap, c.write
-			x.timing.moves.Store(int32(c.moves))
+			x.timing.moves = c.moves
 			NewWithT(t).Expect(lateCause(x, c.choice)).To(Equal(c.cause))
 		})
 	}
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -162,7 +164,7 @@
 // PathsLost implements serverconn.Listener.
 func (l pathListener) PathsLost() {
 	for _, w := range l.h.watchdogs.list() {
-		go w.endIfPathLost()
+		go w.replaceIfPathLost()
 	}
 	for _, p := range l.h.pathWatches.list() {
 		go p.endIfPathLost()
@@ -178,40 +180,30 @@
 // Reachable implements serverconn.Listener.
 func (l pathListener) Reachable(addresses []string) { l.h.Dispatcher.markResponding(addresses...) }
 
-// endIfPathLost ends a silent attempt whose path is lost so that it is resumed, and reports whether
-// the path is lost.
-func (w *watchdog) endIfPathLost() bool {
+// replaceIfPathLost has another attempt made for a silent one whose path is lost, and reports whether the
+// path is lost.
+func (w *watchdog) replaceIfPathLost() bool {
 	w.mu.Lock()
-	first, silence := w.o.choice.First, time.Since(w.lastActivity)
+	first := w.o.choice.First
 	w.mu.Unlock()
 	if !w.o.sentDirectly() || !w.h.Servers.SilentlyLost(first.Address) {
 		return false
 	}
-	if silence < lostPathSilence {
+	if silence := w.silentFor(); silence < lostPathSilence {
 		w.resetTimer(lostPathSilence - silence)
 		return true
 	}
-	w.endForPathLoss()
+	w.replaceForPathLoss()
 	return true
 }
 
-// endForPathLoss ends the attempt if it can be resumed, possibly on the same server.
-func (w *watchdog) endForPathLoss() {
+// replaceForPathLoss has another attempt made, possibly on the same server.
+func (w *watchdog) replaceForPathLoss() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ended || w.retryReserved {
-		return
+	if w.replaceLocked(replacePathLost) {
+		telemetry.RelayPathLost.Log(w.h.Log, "request", w.base.call.ID, "server", w.o.choice.First.ID)
 	}
-	first := w.o.choice.First
-	request := w.request
-	request.Avoid = w.avoidedLocked()
-	if w.reserveRetryLocked(request, first.ID) {
-		telemetry.RelayPathLost.Log(w.h.Log, "request", w.x.call.ID, "server", first.ID)
-		countEnded(endedPathLost)
-		w.o.cancel(errPathLost)
-		return
-	}
-	w.resetTimerLocked(w.h.StallTimeout / 2)
 }
 
 // handleNoReport handles a first server that sent no report: its path is lost, it is silent for a
@@ -220,8 +212,8 @@
 	verdict := w.h.Servers.Check(w.o.ctx, first.Address)
 	switch {
 	case w.o.ctx.Err() != nil: // the attempt has ended
-	case verdict == serverconn.PathLost && w.endIfPathLost():
-	case verdict == serverconn.Unknown && w.h.Servers.Isolated(w.x.service.Name):
+	case verdict == serverconn.PathLost && w.replaceIfPathLost():
+	case verdict == serverconn.Unknown && w.h.Servers.Isolated(w.base.service.Name):
 		w.resetTimer(w.h.StallTimeout / 2)
 	case verdict == serverconn.Reached || verdict == serverconn.PathLost:
 		w.handleSilentServer(first, err)
@@ -232,33 +224,42 @@
 }
 
 func (w *watchdog) logStalled(first backends.Server, err error) {
-	telemetry.RelayStalled.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
+	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
 }
 
 // pathWatch ends an attempt without a watchdog whose path is lost.
 type pathWatch struct {
 	h     *Handler
-	x     *exchange
 	o     *openAttempt
 	timer *time.Timer
 	start time.Time
+	// base is the request as it was when the attempt began, and request describes the server that another
+	// attempt needs.
+	base    exchange
+	request backends.Request
+	// retryReserved is set if the attempt was ended with a retry reserved.
+	retryReserved atomic.Bool
 }
 
 // watchPath starts watching an attempt's path.
 func (h *Handler) watchPath(x *exchange, o *openAttempt) *pathWatch {
-	p := &pathWatch{h: h, x: x, o: o, start: time.Now()}
+	p := &pathWatch{h: h, o: o, start: time.Now()}
 	if h.StallTimeout <= 0 {
 		return p
 	}
+	p.base, p.request = *x, h.choiceRequest(x)
+	p.base.attemptHistory = x.clone()
+	p.base.sends++ // this attempt's
 	p.timer = time.AfterFunc(h.StallTimeout, p.inspect)
 	h.pathWatches.add(p)
 	return p
 }
 
-func (p *pathWatch) stop() {
+func (p *pathWatch) stop(x *exchange) {
 	if p.timer != nil {
 		p.timer.Stop()
 		p.h.pathWatches.remove(p)
+		x.retryReserved = p.retryReserved.Load()
 	}
 }
 
@@ -269,8 +270,8 @@
 	case p.h.pathCheckLimiter.Allow():
 		verdict := p.h.Servers.Check(p.o.ctx, p.o.choice.First.Address)
 		gone := verdict == serverconn.Ended || verdict == serverconn.Unknown
-		if gone && !p.x.route.Stream && p.o.ctx.Err() == nil {
-			p.h.recordUnreachable(p.x, p.o, verdict)
+		if gone && !p.base.route.Stream && p.o.ctx.Err() == nil {
+			p.h.recordUnreachable(&p.base, p.o, verdict)
 		}
 	default:
 		p.timer.Reset(p.h.StallTimeout)
@@ -278,20 +279,40 @@
 	p.endIfPathLost()
 }
 
-// endIfPathLost ends a silent attempt whose path is lost, if it may run again. The response to
-// one that may not is waited for, since the path may work again in time.
+// endIfPathLost ends a silent attempt whose path is lost, if it may run again and a retry is reserved.
+// The response to one that may not is waited for, since the path may work again in time.
 func (p *pathWatch) endIfPathLost() {
-	if p.x.route.Repeat != routes.Repeatable || !p.o.sentDirectly() || !p.h.Servers.SilentlyLost(p.o.choice.First.Address) {
+	if p.o.ctx.Err() != nil || p.base.route.Repeat != routes.Repeatable || !p.o.sentDirectly() || !p.h.Servers.SilentlyLost(p.o.choice.First.Address) {
 		return
 	}
 	if silence := time.Since(p.start); silence < lostPathSilence {
 		time.AfterFunc(lostPathSilence-silence, p.endIfPathLost)
 		return
 	}
-	countEnded(endedPathLost)
+	if p.retryReserved.Load() || !p.reserveRetry() {
+		return
+	}
+	p.retryReserved.Store(true)
+	countEnded(replacePathLost.name)
 	p.o.cancel(errPathLost)
 }
 
+// reserveRetry takes a retry from the budget if another attempt is allowed and finds a server.
+func (p *pathWatch) reserveRetry() bool {
+	x, first := &p.base, p.o.choice.First.ID
+	if !p.h.mayRunAgain(x, x.sends) {
+		return false
+	}
+	request := p.request
+	if !p.h.mayRunElsewhere(x, appendMissing(slices.Clone(x.ranOn), first)) {
+		request.Avoid, request.Allowed = nil, appendMissing(slices.Clone(x.ranOn), first)
+	}
+	if _, err := p.h.Dispatcher.preview(x.service, request); err != nil {
+		return false
+	}
+	return p.h.Dispatcher.takeRetry(x.service.Name, unansweredBudgetShare)
+}
+
 // attemptSet is a set of attempts in progress. It is safe for concurrent use.
 type attemptSet[T comparable] struct {
 	mu      sync.Mutex
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -71,7 +71,8 @@
 
 // attemptPlain sends the request and reads the whole response.
 func (h *Handler) attemptPlain(x *exchange, o *openAttempt) ([]byte, outcome) {
-	defer h.watchPath(x, o).stop()
+	watch := h.watchPath(x, o)
+	defer watch.stop(x)
 	if result := h.send(x, o); result != responded {
 		return nil, result
 	}
--- a/internal/relay/silent.go
+++ b/internal/relay/silent.go
@@ -49,7 +49,7 @@
 func (w *watchdog) handleSilentServer(first backends.Server, err error) {
 	w.h.awaitResponse(first)
 	w.mu.Lock()
-	begun, silence := w.begun, time.Since(w.lastActivity)
+	begun, silence := w.delivered.events > 0, time.Since(w.lastActivity)
 	w.mu.Unlock()
 	if begun && silence < silentServerPatience {
 		w.resetTimer(min(w.h.StallTimeout/2, silentServerPatience-silence))
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -16,56 +16,84 @@
 	"oleandershunt.example/oleandershunt/internal/telemetry"
 )
 
-// Limits of a stream.
-const (
-	// readBufferBytes is the size of the read buffer of a stream; an event has about 100 bytes.
-	readBufferBytes = 4 << 10
-)
-
 // serveStream serves a request whose response is a stream of events.
 func (h *Handler) serveStream(x *exchange) {
 	wait := remainingWaits(x)
 	reason, started := ReasonNoServer, false
+	var o *openAttempt
 	for {
-		o, err := h.choose(x, wait)
-		if err != nil {
-			x.recordFirst(firstNone, wayNone)
-			if errors.Is(err, backends.ErrFull) {
-				reason = ReasonOverloaded
+		if o == nil {
+			if o = h.startAttempt(x, wait, started, reason); o == nil {
+				return
 			}
-			h.abandon(x, started, reason)
-			return
 		}
 		result, done := h.attemptStream(x, o, &started)
 		x.recordFirstAttempt(o, result)
+		next := o.finish(x, done)
 		o.close(h.Dispatcher)
-		if done && result != responded {
-			// The caller disconnected or only closed its side: its response must not end like a
-			// complete one.
-			panic(http.ErrAbortHandler)
-		}
 		if done {
+			endStream(result)
 			return
 		}
-		if result == unsent {
-			continue
-		}
-		if result == heldBack {
-			h.abandon(x, started, ReasonHeldBack)
-			return
-		}
-		reason = refusalReason(result)
-		if !h.mayRetry(x, result) {
-			h.abandon(x, started, reason)
-			return
+		o = next
+		if o == nil && result != unsent {
+			if !h.mayGoOn(x, started, result) {
+				return
+			}
+			reason, wait = refusalReason(result), x.retryWaits(started)
 		}
-		if wait = remainingWaits(x); !started {
-			wait.path = 0
+		if o != nil || result != unsent {
+			metrics.GetOrCreateCounter("oleandershunt_relay_resumed_total").Inc()
 		}
-		metrics.GetOrCreateCounter("oleandershunt_relay_resumed_total").Inc()
 	}
 }
 
+// startAttempt chooses a server for a stream's next attempt. If there is none it ends the stream, for a
+// reason that follows from the attempt before, and returns nil.
+func (h *Handler) startAttempt(x *exchange, wait waitLimits, started bool, reason Reason) *openAttempt {
+	o, err := h.choose(x, wait)
+	if err == nil {
+		return o
+	}
+	x.recordFirst(firstNone, wayNone)
+	if errors.Is(err, backends.ErrFull) {
+		reason = ReasonOverloaded
+	}
+	h.abandon(x, started, reason)
+	return nil
+}
+
+// endStream ends a stream that needs no further attempt. If its caller disconnected or only closed its
+// side, its response must not end like a complete one.
+func endStream(result outcome) {
+	if result != responded {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// mayGoOn reports whether a stream is to be sent to another server after a result, and otherwise ends it.
+func (h *Handler) mayGoOn(x *exchange, started bool, result outcome) bool {
+	if result == heldBack {
+		h.abandon(x, started, ReasonHeldBack)
+		return false
+	}
+	if !h.mayRetry(x, result) {
+		h.abandon(x, started, refusalReason(result))
+		return false
+	}
+	return true
+}
+
+// retryWaits returns how long a request waits for a server after an attempt. started says that the
+// caller has the head of a response.
+func (x *exchange) retryWaits(started bool) waitLimits {
+	wait := remainingWaits(x)
+	if !started {
+		wait.path = 0
+	}
+	return wait
+}
+
 // abandon ends a request that could not be completed. A response that has begun is aborted so
 // that it can't be mistaken for a complete one.
 func (h *Handler) abandon(x *exchange, started bool, reason Reason) {
@@ -81,16 +109,19 @@
 	panic(http.ErrAbortHandler)
 }
 
-// attemptStream sends the request and forwards events until the stream ends or breaks. done
-// says that no further attempt is needed.
+// attemptStream sends the request, unless that was done, and forwards events until the stream ends or
+// breaks. done says that no further attempt is needed.
 func (h *Handler) attemptStream(x *exchange, o *openAttempt, started *bool) (end outcome, done bool) {
-	h.startWatchdog(x, o)
-	defer o.stopWatchdog()
-	if o.watchdog == nil {
-		defer h.watchPath(x, o).stop()
-	}
-	if result := h.send(x, o); result != responded {
-		return result, false
+	defer o.stopWatchdog(x)
+	if o.response == nil {
+		h.startWatchdog(x, o)
+		if o.watchdog == nil {
+			watch := h.watchPath(x, o)
+			defer watch.stop(x)
+		}
+		if result := h.send(x, o); result != responded {
+			return result, false
+		}
 	}
 	if o.response.StatusCode != http.StatusOK {
 		return h.handleStreamFailure(x, o, *started)
@@ -101,7 +132,7 @@
 		*started = true
 	}
 	err := h.forwardEvents(x, o)
-	o.stopWatchdog()
+	o.stopWatchdog(x)
 	if err == nil {
 		h.recordCompleted(x, o, http.StatusOK)
 		return responded, true
@@ -113,13 +144,20 @@
 	if h.callerLeft(x, err) {
 		return uncertain, true
 	}
-	h.logFailedResponse(x, o, err)
+	h.recordBrokenStream(x, o, err)
+	return uncertain, false
+}
+
+// recordBrokenStream records a stream that broke off, or whose attempt was replaced.
+func (h *Handler) recordBrokenStream(x *exchange, o *openAttempt, err error) {
+	if !o.replaced() {
+		h.logFailedResponse(x, o, err)
+	}
 	if errors.Is(err, errTruncatedEvent) && !endsWithConnection(o.response) || errors.Is(err, errBadEvents) {
 		x.recordFailure(o.choice)
-	} else {
-		h.recordBroken(x, o, err)
+		return
 	}
-	return uncertain, false
+	h.recordBroken(x, o, err)
 }
 
 // endsWithConnection reports whether a response has neither a length nor chunks, so that the end of
@@ -150,7 +188,7 @@
 // be repeated, otherwise forwarded.
 func (h *Handler) handleStreamFailure(x *exchange, o *openAttempt, started bool) (outcome, bool) {
 	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedResponse))
-	o.stopWatchdog()
+	o.stopWatchdog(x)
 	if x.route.Repeat != routes.AtMostOnce && h.mayRunElsewhere(x, append(x.ranOn, o.choice.First.ID)) || started || err != nil {
 		h.logFailedResponse(x, o, err)
 		x.recordFailure(o.choice)
@@ -179,33 +217,28 @@
 	errEndedWithVM = errors.New("response ended with its connection, and the VM in between has ended")
 	// errBadEvents marks a stream whose events can't be forwarded.
 	errBadEvents = errors.New("events are not in order")
+	// errReplaced marks an attempt whose events come after another one took over.
+	errReplaced = errors.New("another attempt has taken over")
 )
 
 // forwardEvents forwards complete events as they arrive.
 func (h *Handler) forwardEvents(x *exchange, o *openAttempt) error {
-	flusher := http.NewResponseController(x.w)
-	events := newEventSplitter(x.after)
-	buffer := make([]byte, readBufferBytes)
+	events := o.events
+	if events == nil {
+		events = newEventReader(o.response.Body, x.after)
+	}
 	for {
-		n, readErr := o.response.Body.Read(buffer)
-		complete, err := events.feed(buffer[:n])
-		if err != nil {
-			return fmt.Errorf("%w: %w", errBadEvents, err)
-		}
+		complete, readErr := events.next()
 		if len(complete) > 0 {
-			o.recordProgress()
-			start := time.Now()
-			o.pace.recordRead(start)
-			if _, err := x.w.Write(complete); err != nil {
-				return fmt.Errorf("%w: %w", errCallerGone, err)
+			if !o.claimDelivery() {
+				return errReplaced
 			}
-			if err := flusher.Flush(); err != nil {
-				return fmt.Errorf("%w: %w", errCallerGone, err)
+			if err := h.deliver(x, o, complete); err != nil {
+				return err
 			}
-			x.timing.recordDelivery(x.start, time.Since(start))
-			o.pace.recordDelivered(x.timing.lastEvent)
 			x.events += events.returned
 			x.after = events.last
+			o.recordDelivered(x)
 			h.recordBegun(x)
 		}
 		switch {
@@ -218,3 +251,18 @@
 		}
 	}
 }
+
+// deliver writes events to the caller.
+func (h *Handler) deliver(x *exchange, o *openAttempt, complete []byte) error {
+	start := time.Now()
+	o.pace.recordRead(start)
+	if _, err := x.w.Write(complete); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	if err := http.NewResponseController(x.w).Flush(); err != nil {
+		return fmt.Errorf("%w: %w", errCallerGone, err)
+	}
+	x.timing.recordDelivery(x.start, time.Since(start))
+	o.pace.recordDelivered(x.timing.lastEvent)
+	return nil
+}
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -12,37 +12,46 @@
 )
 
 // watchdog monitors one attempt of a stream. When its path is silent because a server on it is
-// unresponsive, the request moves to another path, or the attempt ends so that it is resumed.
+// unresponsive, the request moves to another path, or another attempt is made beside this one and takes
+// over if it is the first to deliver events. Silence alone ends no attempt: its servers may be sound.
 //
 // What can go wrong: a server fails silently. The servers before it on the path wait for it,
 // the caller disconnects after two seconds without an event, and the platform detects the
 // failure only later. The symptom is many streams that stall together.
 type watchdog struct {
 	h *Handler
-	x *exchange
 	o *openAttempt
+	// base is the request as it was when the attempt began: the exchange itself belongs to the
+	// request's goroutine.
+	base exchange
+	// request describes the path that is needed, without the servers that failed the request before.
+	request backends.Request
 
 	mu    sync.Mutex
 	timer *time.Timer
 	ended bool
 	// moving says that a move is in progress.
 	moving bool
-	// lastActivity is when the attempt began, moved or delivered its last event, and begun is set
-	// once the request has delivered one.
+	// lastActivity is when the attempt began, moved or delivered its last event.
 	lastActivity time.Time
-	begun        bool
-	// request describes the path that is needed, without the servers that failed the request
-	// before; ranOn lists the servers that ran it, and sends counts the attempts including this
-	// one. They are copies from the beginning of the attempt, as the exchange belongs to the
-	// request's goroutine.
-	request backends.Request
-	ranOn   []string
-	sends   int
-	// faulty lists the servers for which the attempt was moved or ended.
+	// delivered is what the caller has, since lastEvent, and delivering is set while events are being
+	// written to it.
+	delivered  delivered
+	lastEvent  time.Time
+	delivering bool
+	// faulty lists the servers for which the attempt was to be moved or replaced.
 	faulty []string
-	// retryReserved says that the attempt was ended with a retry reserved. waitLogged says that
-	// the log has a line on the attempt continuing because there was no retry or no other path.
-	retryReserved, waitLogged bool
+	// ranOn lists the servers that ran the request or may have, without this attempt's; sends and
+	// refusals count what replacements added. moves counts the moves of the attempt.
+	ranOn                  []string
+	sends, refusals, moves int
+	// replacement is an attempt that is made beside this one, nil if there is none, and replaced is set
+	// once it has taken over. mayReplace is unset while this attempt is one itself.
+	replacement          *replacement
+	replaced, mayReplace bool
+	// waitLogged says that the log has a line on the attempt continuing because there was no retry or
+	// no other path.
+	waitLogged bool
 }
 
 // startWatchdog starts monitoring an attempt. Requests that may not run twice and services
@@ -52,16 +61,36 @@
 // and the lock, the list of servers to avoid is corrupted by a data race, or a timer that fires
 // at once finds no timer to reset and the stream is never checked again.
 func (h *Handler) startWatchdog(x *exchange, o *openAttempt) {
-	if x.route.Repeat != routes.Resumable || x.service.Engine == nil || h.StallTimeout <= 0 {
+	w := h.newWatchdog(x, o)
+	if w == nil {
 		return
 	}
-	w := &watchdog{h: h, x: x, o: o, lastActivity: time.Now(), begun: x.events > 0, request: h.choiceRequest(x), ranOn: slices.Clone(x.ranOn), sends: x.sends + 1}
-	w.request.Avoid, w.request.Allowed = slices.Clone(x.avoid), nil
+	w.mayReplace = true
 	o.watchdog = w
+	w.start(h.firstEventTimeout(x))
+}
+
+// newWatchdog returns a watchdog for an attempt, or nil if it needs none.
+func (h *Handler) newWatchdog(x *exchange, o *openAttempt) *watchdog {
+	if x.route.Repeat != routes.Resumable || x.service.Engine == nil || h.StallTimeout <= 0 {
+		return nil
+	}
+	w := &watchdog{
+		h: h, o: o, base: *x, lastActivity: time.Now(), delivered: x.delivered, lastEvent: x.timing.lastEvent,
+		request: h.choiceRequest(x), ranOn: slices.Clone(x.ranOn),
+	}
+	w.base.attemptHistory = x.clone()
+	w.base.sends++ // this attempt's
+	w.request.Avoid, w.request.Allowed = slices.Clone(x.avoid), nil
+	return w
+}
+
+// start starts the timer of the first check.
+func (w *watchdog) start(delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.timer = time.AfterFunc(h.firstEventTimeout(x), w.inspect)
-	h.watchdogs.add(w)
+	w.timer = time.AfterFunc(delay, w.inspect)
+	w.h.watchdogs.add(w)
 }
 
 // MarkUnresponsive records that a server doesn't respond, as found by this VM or another one, and moves all
@@ -72,11 +101,12 @@
 	h.moveStreams(id)
 }
 
-// moveStreams moves all streams off a server.
+// moveStreams moves all streams off a server that are silent or fall silent now. Those that go on work,
+// whatever was found out about the server.
 func (h *Handler) moveStreams(id string) {
 	for _, w := range h.watchdogs.list() {
 		if w.uses(id) {
-			go w.move(id)
+			go w.moveWhenSilent(id)
 		}
 	}
 }
@@ -100,13 +130,37 @@
 	return !w.ended && slices.ContainsFunc(w.o.choice.Path, func(part chain.Part) bool { return part.ID == id })
 }
 
-func (w *watchdog) recordProgress() {
+// claimDelivery reports whether events of the attempt may be written to the caller. If so, a replacement
+// that has not taken over is given up.
+func (w *watchdog) claimDelivery() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.replaced {
+		return false
+	}
+	w.delivering = true
+	if r := w.replacement; r != nil {
+		w.replacement = nil
+		r.giveUp()
+	}
+	return true
+}
+
+// recordDelivered records what the caller has now, since a time.
+func (w *watchdog) recordDelivered(caller delivered, at time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.lastActivity, w.begun = time.Now(), true
+	w.delivering = false
+	w.lastActivity, w.delivered, w.lastEvent = time.Now(), caller, at
 	w.resetTimerLocked(w.h.StallTimeout)
 }
 
+func (w *watchdog) isReplaced() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.replaced
+}
+
 func (w *watchdog) resetTimer(delay time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -120,31 +174,39 @@
 	}
 }
 
-// stop stops the watchdog and makes the request avoid the faulty servers. It may only be called
-// by the request's own goroutine.
-func (w *watchdog) stop() {
+// stop stops the watchdog and adds what it found to the request. It may only be called by the request's
+// own goroutine.
+func (w *watchdog) stop(x *exchange) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.mergeLocked(x)
 	if w.ended {
 		return
 	}
 	w.ended = true
 	w.timer.Stop()
 	w.h.watchdogs.remove(w)
-	w.x.avoid = append(w.x.avoid, w.faulty...)
-	w.x.retryReserved = w.retryReserved
+}
+
+// mergeLocked adds what the watchdog and its replacements found to the request, once.
+func (w *watchdog) mergeLocked(x *exchange) {
+	x.avoid = appendMissing(x.avoid, w.faulty...)
+	x.ranOn = appendMissing(x.ranOn, w.ranOn...)
+	x.mayHaveRun = x.mayHaveRun || len(w.ranOn) > 0
+	x.sends, x.refusals, x.timing.moves = x.sends+w.sends, x.refusals+w.refusals, x.timing.moves+w.moves
+	w.sends, w.refusals, w.moves = 0, 0, 0
 }
 
 // inspect asks the first server of the path which server the request waits for.
 func (w *watchdog) inspect() {
 	w.mu.Lock()
-	first, path := w.o.choice.First, w.o.choice.Path
+	first, path, pending := w.o.choice.First, w.o.choice.Path, w.replacement != nil
 	w.mu.Unlock()
-	if w.endIfPathLost() {
+	if pending || w.replaceIfPathLost() {
 		return
 	}
 	report, err := w.h.reports.get(w.o.ctx, first.Address, maxStallReportAge)
-	w.h.signals.Apply(ServerSignals{Server: first.ID, Request: w.x.call.ID, Signals: report.Signals})
+	w.h.signals.Apply(ServerSignals{Server: first.ID, Request: w.base.call.ID, Signals: report.Signals})
 	if w.o.ctx.Err() != nil {
 		return
 	}
@@ -154,7 +216,7 @@
 	}
 	faulty, ok := w.stalledServer(report)
 	if !ok && w.responseLost(report) {
-		w.endLostResponse(first)
+		w.replaceLostResponse(first)
 		return
 	}
 	if !ok {
@@ -162,7 +224,7 @@
 		w.resetTimer(w.h.StallTimeout / 2)
 		return
 	}
-	telemetry.RelayStalled.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
+	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
 	if w.h.OnUnresponsive != nil {
 		// Only what a server reports is shared with other VMs: a failed connection of this VM
 		// may be caused by its own network.
@@ -191,20 +253,19 @@
 	return report.Queued == 0 && time.Since(w.lastActivity) >= time.Duration(wait)
 }
 
-// endLostResponse ends the attempt so that it is resumed elsewhere.
-func (w *watchdog) endLostResponse(first backends.Server) {
+// replaceLostResponse has another server go on with the stream.
+func (w *watchdog) replaceLostResponse(first backends.Server) {
 	if conn := w.o.tunnel(); conn != nil {
 		// The server works on the request, so the VM in between has fallen silent.
 		w.h.Servers.SetAside(conn.VM, first.Address)
-		w.endForPathLoss()
+		w.replaceForPathLoss()
 		return
 	}
 	w.h.Dispatcher.suspect(first.ID, suspectAfterLostResponse)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.ended && w.endForResumeLocked(endedAnswerLost) {
-		w.faulty = append(w.faulty, first.ID)
-		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.x.call.ID, "first", first.ID)
+	if w.replaceLocked(replaceAnswerLost, first.ID) {
+		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID)
 	}
 }
 
@@ -214,7 +275,7 @@
 func (w *watchdog) stalledServer(report Report) (string, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	address, stalled := report.Stalled[w.x.call.ID]
+	address, stalled := report.Stalled[w.base.call.ID]
 	if !stalled {
 		return "", false
 	}
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -10,10 +10,10 @@
 	RelayLeft           = Event{4207, "caller left before the answer's end"}
 	RelayStalled        = Event{4206, "path is silent: a backend server on it does not answer"}
 	RelayMoved          = Event{4208, "request moved to another path"}
-	RelayNotMoved       = Event{4209, "request not moved; its attempt ends"}
-	RelayAnswerLost     = Event{4211, "answer is lost; the request is resumed elsewhere"}
+	RelayNotMoved       = Event{4209, "request not moved; another attempt is made beside its own"}
+	RelayAnswerLost     = Event{4211, "answer may be lost; another attempt is made beside the silent one"}
 	RelayWaits          = Event{4212, "path is silent; the request waits, since it can't be resumed now"}
-	RelayPathLost       = Event{4221, "path to the backend server is lost; the request is resumed"}
+	RelayPathLost       = Event{4221, "path to the backend server is lost; another attempt is made"}
 	RelayLate           = Event{4213, "answer was late"}
 	RelayPoison         = Event{4210, "body may crash backend servers"}
 	RelayServerLost     = Event{4222, "backend server lost while it ran a request"}
@@ -34,6 +34,8 @@
 	StreamsLimited      = Event{4227, "streams of a service are limited"}
 	RelayPanicked       = Event{4232, "request's goroutine panicked; its connection is closed"}
 	RelayUnwritten      = Event{4233, "answer can't be written to the caller"}
+	RelayReplaced       = Event{4234, "another attempt goes on with the answer of a silent one"}
+	RelayNotReplaced    = Event{4235, "silent attempt goes on; no other server takes the request"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
