--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -48,6 +48,7 @@
 	VMUnsaturated      = Event{1104, "VM is below its limits again"}
 	VMStoodStill       = Event{1105, "process stood still"}
 	ServerError        = Event{1106, "HTTP server reports an error"}
+	LogLinesDropped    = Event{1107, "log lines were dropped"}
 	RelaySettingsBad   = Event{1102, "settings can't be read; the former stay"}
 	RelayServers       = Event{6101, "backend servers changed"}
 	PeerUnread         = Event{6102, "word of another VM can't be read"}
