Check a server after the end of an answer that ends with its connection

Callers got half of a server's body as a whole 200 after the server crashed: an answer without a length counted as whole by a check of its server that was up to 200 ms old, which the proper end of another answer had made.

Such a check now begins 20 ms after the end that it is to judge, since the kernel closes a process's connections and its listener one after the other. Answers that end within 100 ms share one. Other checks keep their reuse.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -178,7 +178,7 @@
 	if tunnel := o.tunnel(); tunnel != nil && !h.Servers.VMResponds(o.ctx, tunnel.VM) {
 		return errEndedWithVM
 	}
-	if verdict := h.Servers.Check(o.ctx, o.sentTo.First.Address); verdict == serverconn.Ended || verdict == serverconn.Unknown {
+	if verdict := h.Servers.CheckEnd(o.ctx, o.sentTo.First.Address); verdict == serverconn.Ended || verdict == serverconn.Unknown {
 		return errEndedWithServer
 	}
 	return nil
--- a/internal/relay/undelimited_test.go
+++ b/internal/relay/undelimited_test.go
@@ -219,6 +219,20 @@
 	}
 }
 
+// Guards against taking a response for whole by a check of its server from before its end: a response of
+// the same server that ended properly a moment earlier had it checked.
+func TestAResponseThatEndsWithItsServerIsIncompleteWhateverWasSeenBefore(t *testing.T) {
+	for path, bodies := range map[string][]string{"/plain/x": {"whole", "!who"}, "/stream/x": {eventOne + eventTwo, "!" + eventOne}} {
+		r := newUndelimitedRig(t, bodies...)
+		r.vm.Dispatcher.WithFleet(func(now time.Duration, fleet *backends.Fleet) { fleet.Remove(now, "s1", 2) })
+		_, body := r.call(path)
+		r.Expect(body).To(Equal(bodies[0]), path)
+		if status, body := r.call(path); status == http.StatusOK {
+			r.Expect(body).To(Equal("cut"), path)
+		}
+	}
+}
+
 // Guards against passing on the beginning of a response as the whole one because the VM in between
 // ended.
 func TestAResponseThatEndsWithTheVMInBetweenIsIncomplete(t *testing.T) {
--- a/internal/serverconn/check.go
+++ b/internal/serverconn/check.go
@@ -31,14 +31,23 @@
 	return [...]string{Unknown: "unknown", Reached: "reached", PathLost: "path_lost", Ended: "ended"}[v]
 }
 
-// checkReuse is how long a check's verdict is used again: many streams break together.
-const checkReuse = 200 * time.Millisecond
+const (
+	// checkReuse is how long a check's verdict is used again: many streams break together.
+	checkReuse = 200 * time.Millisecond
+	// endedDelay is how long after a connection's end a check begins that is to show that its server has not
+	// ended: the kernel closes the connections and the listener of a process one after the other.
+	endedDelay = 20 * time.Millisecond
+	// laterCheckInterval is the minimum time between the starts of two such checks of a server: responses
+	// that end within it share one.
+	laterCheckInterval = 100 * time.Millisecond
+)
 
-// check is a check of one server; done is closed when it has a verdict.
+// check is a check of one server that starts, or is to start, at a time; done is closed when it has a
+// verdict.
 type check struct {
-	startedAt time.Duration
-	done      chan struct{}
-	verdict   Verdict
+	startsAt time.Duration
+	done     chan struct{}
+	verdict  Verdict
 }
 
 // checkGroup shares checks of one server.
@@ -49,9 +58,22 @@
 
 func newCheckGroup() checkGroup { return checkGroup{latest: make(map[string]*check)} }
 
-// Check finds out whether a server is reached, its path is lost, or it has ended.
+// Check finds out whether a server is reached, its path is lost, or it has ended. The verdict may be up to
+// checkReuse old.
 func (c *Connector) Check(ctx context.Context, address string) Verdict {
-	current := c.startCheck(address)
+	now := c.options.Now()
+	return c.await(ctx, c.shareCheck(address, now-checkReuse, now))
+}
+
+// CheckEnd finds out the same by connects that all begin after this call. It is for a connection that has
+// ended just now: whether its server has ended, too, shows only later.
+func (c *Connector) CheckEnd(ctx context.Context, address string) Verdict {
+	earliest := c.options.Now() + endedDelay
+	return c.await(ctx, c.shareCheck(address, earliest, earliest))
+}
+
+// await returns the verdict of a check, or Unknown if ctx ends before.
+func (c *Connector) await(ctx context.Context, current *check) Verdict {
 	select {
 	case <-current.done:
 		return current.verdict
@@ -60,24 +82,30 @@
 	}
 }
 
-func (c *Connector) startCheck(address string) *check {
+// shareCheck returns a check that starts no earlier than oldest: the latest one, or one that is to start at
+// a time.
+func (c *Connector) shareCheck(address string, oldest, start time.Duration) *check {
 	c.checks.mu.Lock()
 	defer c.checks.mu.Unlock()
 	now := c.options.Now()
-	if current, ok := c.checks.latest[address]; ok && now-current.startedAt < checkReuse {
-		return current
+	latest, ok := c.checks.latest[address]
+	if ok && latest.startsAt >= oldest {
+		return latest
+	}
+	if ok && start > now {
+		start = max(start, latest.startsAt+laterCheckInterval)
 	}
 	for other, old := range c.checks.latest {
-		if now-old.startedAt >= checkReuse {
+		if now-old.startsAt >= checkReuse {
 			delete(c.checks.latest, other)
 		}
 	}
-	fresh := &check{startedAt: now, done: make(chan struct{})}
+	fresh := &check{startsAt: start, done: make(chan struct{})}
 	c.checks.latest[address] = fresh
-	go func() {
+	time.AfterFunc(start-now, func() {
 		fresh.verdict = c.examine(address)
 		close(fresh.done)
-	}()
+	})
 	return fresh
 }
 
