Count servers that go dark against what their silent streams contain

A request under which model servers go dark, without a closed connection, took two or three more each time that it came, and was never found out: the watchdog moved the stream before anyone had evidence, and a caller that left ended the attempt without a check.

A server to which no VM connects while this one connects to others now counts as lost for all silent streams through it, as the first server of a path or inside it, and for a request whose caller left it after half a second of silence. It only holds content back, as core/quarantine does without proof: answers, the server's responses and trials release it. A check that finds nobody connecting makes one connect to another server before the VM takes itself for isolated.

TestARequestUnderWhichServersGoDarkIsRefused fails before: all ten servers go dark, and sound requests are refused.

--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -416,6 +416,13 @@
 	return ok && server.Draining
 }
 
+// server returns a server that is known.
+func (d *Dispatcher) server(id string) (backends.Server, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.fleet.Server(id)
+}
+
 // removed reports whether a server is no longer known.
 func (d *Dispatcher) removed(id string) bool {
 	d.mu.Lock()
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -109,42 +109,47 @@
 	case verdict == serverconn.Unknown && isolated:
 		cause = lossUnexplained
 	}
-	h.logLoss(x, o, verdict, isolated, cause == lossOfServer)
+	h.logLoss(x, o.choice.First, verdict, isolated, cause == lossOfServer)
 	return cause
 }
 
-// recordUnanswered records a server that left a request without a response until the caller or the
-// time limit ended it, if no VM connects to the server any more.
+// recordUnanswered records a server that left a request without a response, or a stream without an event,
+// until the caller or the time limit ended it, if no VM connects to the server any more.
 func (h *Handler) recordUnanswered(x *exchange, o *openAttempt) {
-	if bootclock.Now()-o.sentAt < minUnansweredTime {
+	silence := bootclock.Now() - o.sentAt
+	if o.response != nil && x.events > 0 {
+		silence = min(silence, time.Since(x.timing.lastEvent))
+	}
+	if silence < minUnansweredTime {
 		return
 	}
+	at := *x // the request's goroutine ends
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), unansweredCheckTimeout)
 		defer cancel()
-		verdict := h.Servers.Check(ctx, o.sentTo.First.Address)
+		server := o.sentTo.First
+		verdict := h.Servers.Check(ctx, server.Address)
 		if verdict == serverconn.Ended || verdict == serverconn.Unknown {
-			h.recordUnreachable(x, o, verdict)
+			h.recordUnreachable(&at, server, verdict)
 		}
 	}()
 }
 
 // recordUnreachable records a server that has a request and doesn't respond, and to which no VM
 // connects any more.
-func (h *Handler) recordUnreachable(x *exchange, o *openAttempt, verdict serverconn.Verdict) {
-	server := o.sentTo.First
+func (h *Handler) recordUnreachable(x *exchange, server backends.Server, verdict serverconn.Verdict) {
 	if h.Dispatcher.draining(server.ID) {
 		return
 	}
-	h.logLoss(x, o, verdict, h.Servers.Isolated(x.service.Name), false)
+	h.logLoss(x, server, verdict, h.Servers.Isolated(x.service.Name), false)
 	h.quarantineLoss(x, server, bootclock.Now(), true)
 }
 
 // logLoss logs and counts a server that was lost while it ran a request.
-func (h *Handler) logLoss(x *exchange, o *openAttempt, verdict serverconn.Verdict, isolated, counted bool) {
+func (h *Handler) logLoss(x *exchange, server backends.Server, verdict serverconn.Verdict, isolated, counted bool) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_losses_total{verdict=%q,counted=\"%t\"}", verdict, counted)).Inc()
 	if h.lossLogLimiter.Allow() {
-		telemetry.RelayServerLost.Log(h.Log, "request", x.call.ID, "service", x.service.Name, "server", o.choice.First.ID, "verdict", verdict.String(),
+		telemetry.RelayServerLost.Log(h.Log, "request", x.call.ID, "service", x.service.Name, "server", server.ID, "verdict", verdict.String(),
 			"isolated", isolated, "counted", counted, "account", x.account.Name, "path", x.poison.Pipeline, "hash", x.poison.Hash, "parts", formatParts(x.call.SharedParts), "events", x.events)
 	}
 }
@@ -219,10 +224,40 @@
 		w.handleSilentServer(first, err)
 	default:
 		w.logStalled(first, err)
+		w.h.recordDarkServer(first, verdict)
 		w.h.MarkUnresponsive(first.ID, false)
 	}
 }
 
+// checkDark checks a server inside a path that another server finds unresponsive.
+func (h *Handler) checkDark(id string) {
+	server, ok := h.Dispatcher.server(id)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), unansweredCheckTimeout)
+	defer cancel()
+	verdict := h.Servers.Check(ctx, server.Address)
+	if verdict == serverconn.Ended || verdict == serverconn.Unknown && ctx.Err() == nil && !h.Servers.Isolated(server.Service) {
+		h.recordDarkServer(server, verdict)
+	}
+}
+
+// recordDarkServer records a server to which no VM connects, against all that silent streams through it
+// contain.
+//
+// What can go wrong: a request crashes each server that runs it, and the servers' machines go with them.
+// No connection is closed, so nothing but the silence shows it; each time that the request comes it takes
+// two servers more.
+func (h *Handler) recordDarkServer(server backends.Server, verdict serverconn.Verdict) {
+	for _, w := range h.watchdogs.list() {
+		if w.silentFor() >= minMoveSilence && w.loses(server.ID) {
+			x := w.snapshot()
+			h.recordUnreachable(&x, server, verdict)
+		}
+	}
+}
+
 func (w *watchdog) logStalled(first backends.Server, err error) {
 	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
 }
@@ -271,7 +306,7 @@
 		verdict := p.h.Servers.Check(p.o.ctx, p.o.choice.First.Address)
 		gone := verdict == serverconn.Ended || verdict == serverconn.Unknown
 		if gone && !p.base.route.Stream && p.o.ctx.Err() == nil {
-			p.h.recordUnreachable(&p.base, p.o, verdict)
+			p.h.recordUnreachable(&p.base, p.o.sentTo.First, verdict)
 		}
 	default:
 		p.timer.Reset(p.h.StallTimeout)
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -181,13 +181,15 @@
 			o.events.ahead = &eventsRead{err: io.EOF}
 		}
 	}
-	if err != nil && x.ctx.Err() == nil {
+	switch {
+	case err == nil:
+		return responded, nil
+	case x.ctx.Err() != nil:
+		h.recordUnanswered(x, o)
+	default:
 		h.recordBrokenStream(x, o, err)
 	}
-	if err != nil {
-		return uncertain, err
-	}
-	return responded, nil
+	return uncertain, err
 }
 
 // recordReplacementSent records that a server may run the request.
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -142,6 +142,7 @@
 		return uncertain, true
 	}
 	if h.callerLeft(x, err) {
+		h.recordUnanswered(x, o)
 		return uncertain, true
 	}
 	h.recordBrokenStream(x, o, err)
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -41,6 +41,8 @@
 	delivering bool
 	// faulty lists the servers for which the attempt was to be moved or replaced.
 	faulty []string
+	// lost lists the servers that were recorded as lost under the request.
+	lost []string
 	// ranOn lists the servers that ran the request or may have, without this attempt's; sends and
 	// refusals count what replacements added. moves counts the moves of the attempt.
 	ranOn                  []string
@@ -155,6 +157,29 @@
 	w.resetTimerLocked(w.h.StallTimeout)
 }
 
+// loses reports whether the attempt uses a server, the first time that it is called for that.
+func (w *watchdog) loses(id string) bool {
+	if !w.uses(id) {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if slices.Contains(w.lost, id) {
+		return false
+	}
+	w.lost = append(w.lost, id)
+	return true
+}
+
+// snapshot returns the request as it is now.
+func (w *watchdog) snapshot() exchange {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	x := w.base
+	x.delivered, x.timing.lastEvent = w.delivered, w.lastEvent
+	return x
+}
+
 func (w *watchdog) isReplaced() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -225,6 +250,7 @@
 		return
 	}
 	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
+	go w.h.checkDark(faulty)
 	if w.h.OnUnresponsive != nil {
 		// Only what a server reports is shared with other VMs: a failed connection of this VM
 		// may be caused by its own network.
--- a/internal/serverconn/check.go
+++ b/internal/serverconn/check.go
@@ -124,9 +124,13 @@
 		return PathLost
 	case errors.Is(err, tunnel.ErrServerRefused), refused && c.reachesOther(ctx, address):
 		return Ended
-	default:
-		return Unknown
 	}
+	if !refused && c.Isolated(c.serviceOf(address)) {
+		// A VM that uses open connections only would take two servers that are gone for the loss of all
+		// its paths. This connect shows that it isn't.
+		c.reachesOther(ctx, address)
+	}
+	return Unknown
 }
 
 // reachesOther reports whether this VM connects to another server of the service than that at an
