Bound the memory that callers and servers fill, before it is filled

Bodies, held responses and incomplete events reserve each buffer before they make it, of 0.45 of the settings' memory in sum (internal/core/membound). A body holds what has arrived; where the admitted ones need more in fact than there is, the one that began last is given up, with a truthful 503. A body that isn't whole when its request's time is over, or after 30 s, is answered 408. A response with a length for which there is no memory, or of more than 1 MiB, is passed on as it comes; before, one of more than 1 MiB was a 502.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -69,8 +68,11 @@
 	sent atomic.Pointer[wire.Sent]
 	// pace reports the attempt's progress to the limiter of its service. Nil without one.
 	pace *attemptPace
-	// events is the reader of the response if something was read ahead.
+	// events is the reader of a stream's response, once there is one.
 	events *eventReader
+	// held is the memory of a response that is held.
+	held   reserved
+	closed bool
 }
 
 // claimDelivery reports whether events of the attempt may be written to the caller: no other attempt has
@@ -95,11 +97,20 @@
 // replaced reports whether another attempt has taken over.
 func (o *openAttempt) replaced() bool { return o.watchdog != nil && o.watchdog.isReplaced() }
 
+// close ends the attempt. Further calls have no effect.
 func (o *openAttempt) close(d *Dispatcher) {
+	if o.closed {
+		return
+	}
+	o.closed = true
 	o.cancel(nil)
 	if o.response != nil {
 		_ = o.response.Body.Close() // the connection isn't used again unless the body was read
 	}
+	if o.events != nil {
+		o.events.memory.free()
+	}
+	o.held.free()
 	d.release(o)
 }
 
@@ -280,10 +291,10 @@
 	request := &http.Request{
 		Method: x.r.Method, URL: &target, Host: x.r.Host, Header: header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(x.body)), Body: http.NoBody,
+		ContentLength: x.body.size, Body: http.NoBody,
 	}
-	if len(x.body) > 0 {
-		request.Body = io.NopCloser(wire.OnceBody(bytes.NewReader(x.body)))
+	if x.body.size > 0 {
+		request.Body = io.NopCloser(wire.OnceBody(x.body.reader()))
 	}
 	return request.WithContext(ctx)
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -2,9 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"strconv"
+
+	"oleandershunt.example/oleandershunt/internal/core/membound"
 )
 
 // readBufferBytes is the size of the read buffer of a stream; an event has about 100 bytes.
@@ -17,6 +20,8 @@
 	*eventSplitter
 	// ahead is what was read ahead, until it is returned.
 	ahead *eventsRead
+	// memory is what an incomplete event holds beyond the buffer.
+	memory reserved
 }
 
 // eventsRead is the result of one read: complete events, and the error after them.
@@ -26,10 +31,16 @@
 }
 
 // newEventReader returns a reader of the events that follow the one with an ID.
-func newEventReader(body io.Reader, after string) *eventReader {
-	return &eventReader{body: body, buffer: make([]byte, readBufferBytes), eventSplitter: newEventSplitter(after)}
+func (h *Handler) newEventReader(body io.Reader, after string) *eventReader {
+	return &eventReader{
+		body: body, buffer: make([]byte, readBufferBytes), eventSplitter: newEventSplitter(after),
+		memory: reserved{buffers: h.buffers, use: membound.Event},
+	}
 }
 
+// errNoMemory is returned for an event for which there is no memory.
+var errNoMemory = errors.New("no memory for an event")
+
 // next reads once. It returns the events that are complete, which may be none, and the error that
 // follows them.
 func (r *eventReader) next() ([]byte, error) {
@@ -42,6 +53,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errBadEvents, err)
 	}
+	if held := int64(cap(r.pending)); held > 2*readBufferBytes && !r.memory.grow(held) {
+		return nil, fmt.Errorf("%w: %w", errBadEvents, errNoMemory)
+	}
 	return complete, readErr
 }
 
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/membound"
 	"oleandershunt.example/oleandershunt/internal/core/poison"
 	"oleandershunt.example/oleandershunt/internal/core/quarantine"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
@@ -30,7 +31,9 @@
 	shed bool
 	// startCounted says that a server was chosen for the request, which counts as its start.
 	startCounted bool
-	body         []byte
+	body         requestBody
+	// memory is what the body holds; nil without a body.
+	memory *membound.Body
 	// poison identifies the content of the request, to recognise one that crashes servers.
 	poison poison.Body
 	// contents are what the request has in common with others that may crash servers. claim
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -26,9 +24,6 @@
 const (
 	// idleConnsPerServer is the number of idle connections kept to each server.
 	idleConnsPerServer = 8
-	// maxBufferedBodyBytes bounds the bytes of all request bodies in memory, so that many large
-	// requests at once don't exhaust the VM's memory.
-	maxBufferedBodyBytes = 64 << 20
 	// defaultMaxBodyBytes bounds a body if the configuration sets no limit.
 	defaultMaxBodyBytes = 4 << 20
 	// retryAfterDefault is the Retry-After of a request for which no server was found: the time
@@ -65,6 +60,8 @@
 	// Saturated, if set, reports whether the VM refuses new requests since it has reached one of its
 	// limits, with the reason for the log.
 	Saturated func() (detail string, saturated bool)
+	// BufferBytes bounds the memory that callers and servers fill, in bytes. 0 means defaultBufferBytes.
+	BufferBytes int64
 	// Servers connects to backend servers. Nil means directly only, without probes of lost paths.
 	Servers *serverconn.Connector
 }
@@ -73,7 +70,7 @@
 type Handler struct {
 	Options
 	transports    serverconn.Transports
-	bodyBytes     atomic.Int64
+	buffers       *buffers
 	inFlight      atomic.Int64
 	watchdogs     *attemptSet[*watchdog]
 	pathWatches   *attemptSet[*pathWatch]
@@ -96,6 +93,7 @@
 	}
 	h := &Handler{
 		Options:          options,
+		buffers:          newBuffers(options.BufferBytes),
 		transports:       options.Servers.Transports(idleConnsPerServer),
 		reports:          newReportCache(options.Engines),
 		suspects:         newPoisonSuspects(),
@@ -120,6 +118,7 @@
 	defer h.inFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), call: h.Wire.Read(r)}
 	defer h.closeOnPanic(x)
+	defer h.releaseBody(x)
 	refused := h.refuseSaturated(x)
 	if refused == nil {
 		refused = h.admit(x)
@@ -131,7 +130,6 @@
 		h.refuse(x, refused)
 		return
 	}
-	defer h.bodyBytes.Add(-int64(len(x.body)))
 	x.poison = poisonBody(x)
 	x.contents = contentsOf(x)
 	if refused := h.suspects.begin(x); refused != nil {
@@ -197,31 +195,6 @@
 	return host
 }
 
-// readBody reads the request's body into memory. The whole body is needed because an attempt
-// that fails before a server ran it is retried on another server.
-func (h *Handler) readBody(x *exchange) *refusal {
-	limit := int64(defaultMaxBodyBytes)
-	if table := h.Dispatcher.Table(); table.Limits.BodyBytes > 0 {
-		limit = table.Limits.BodyBytes
-	}
-	if x.r.ContentLength > limit {
-		return rejection(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	}
-	if h.bodyBytes.Load()+max(x.r.ContentLength, 0) > maxBufferedBodyBytes {
-		return notRunRefusal(ReasonBusy, retryAfterDefault)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
-	if tooLarge := new(http.MaxBytesError); errors.As(err, &tooLarge) {
-		return rejection(http.StatusRequestEntityTooLarge, ReasonBodyTooLarge)
-	}
-	if err != nil {
-		return rejection(http.StatusBadRequest, ReasonBodyUnread)
-	}
-	h.bodyBytes.Add(int64(len(body)))
-	x.body = body
-	return nil
-}
-
 // callerLeft reports, counts and logs whether the caller disconnected before the end of the
 // response. Its attempts end with its connection.
 func (h *Handler) callerLeft(x *exchange, cause error) bool {
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -8,7 +8,10 @@
 	"strings"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"oleandershunt.example/oleandershunt/internal/core/backends"
+	"oleandershunt.example/oleandershunt/internal/core/membound"
 )
 
 // maxBufferedResponse is the largest response that is read into memory, in bytes. A complete
@@ -33,10 +36,10 @@
 		}
 		body, result := h.attemptPlain(x, o)
 		x.recordFirstAttempt(o, result)
-		final := result == responded && (o.response.StatusCode < http.StatusInternalServerError || !h.retryServerFailure(x, o))
+		final := result == responded && (!body.whole || o.response.StatusCode < http.StatusInternalServerError || !h.retryServerFailure(x, o))
 		if final {
+			defer o.close(h.Dispatcher)
 			h.writeResponse(x, o, body)
-			o.close(h.Dispatcher)
 			return
 		}
 		o.close(h.Dispatcher)
@@ -69,47 +72,166 @@
 	return h.mayRetry(x, uncertain)
 }
 
-// attemptPlain sends the request and reads the whole response.
-func (h *Handler) attemptPlain(x *exchange, o *openAttempt) ([]byte, outcome) {
+// responseBody is the body of a response, or its beginning.
+type responseBody struct {
+	bytes []byte
+	// whole says that it is all of it. Otherwise the rest is forwarded as it comes, since it is too long to
+	// be held, or there is no memory for it.
+	whole bool
+}
+
+// attemptPlain sends the request and reads the whole response, or what can be held of it.
+func (h *Handler) attemptPlain(x *exchange, o *openAttempt) (responseBody, outcome) {
 	watch := h.watchPath(x, o)
 	defer watch.stop(x)
 	if result := h.send(x, o); result != responded {
-		return nil, result
+		return responseBody{}, result
 	}
-	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedResponse+1))
-	if err == nil && mayHaveBody(x.r.Method, o.response.StatusCode) {
-		err = h.checkEnd(o, len(body) == 0)
+	body, err := h.holdBody(o)
+	if err == nil && body.whole {
+		err = h.checkWhole(x, o, body)
 	}
-	if err != nil || len(body) > maxBufferedResponse {
+	if err != nil {
 		if x.ctx.Err() == nil {
 			h.logFailedResponse(x, o, err)
 		}
 		h.recordBroken(x, o, err)
-		return nil, uncertain
+		return responseBody{}, uncertain
 	}
 	return body, responded
 }
 
+// checkWhole returns an error if a body that ended without one may be incomplete.
+func (h *Handler) checkWhole(x *exchange, o *openAttempt, body responseBody) error {
+	if !mayHaveBody(x.r.Method, o.response.StatusCode) {
+		return nil
+	}
+	return h.checkEnd(o, len(body.bytes) == 0)
+}
+
+// firstResponseBytes is the size of the first buffer of a response of unknown length.
+const firstResponseBytes = 4 << 10
+
+// holdBody reads the body of a response as far as it can be held.
+func (h *Handler) holdBody(o *openAttempt) (responseBody, error) {
+	o.held = reserved{buffers: h.buffers, use: membound.Response}
+	next := int64(firstResponseBytes)
+	if length := o.response.ContentLength; length >= 0 {
+		next = length + 1 // which shows its end
+	}
+	var held []byte
+	for next <= maxBufferedResponse && o.held.grow(next) {
+		grown := make([]byte, next)
+		n := copy(grown, held)
+		read, err := readFull(o.response.Body, grown[n:])
+		held = grown[:n+read]
+		if err == io.EOF {
+			return responseBody{bytes: held, whole: true}, nil
+		}
+		if err != nil {
+			return responseBody{}, err
+		}
+		next *= 2
+	}
+	if next > maxBufferedResponse && o.response.ContentLength < 0 {
+		return responseBody{}, errEndless
+	}
+	return responseBody{bytes: held}, nil
+}
+
+// errEndless marks a response without a length that is longer than any that is held: it may have no end.
+var errEndless = errors.New("response has no length and doesn't end")
+
+// readFull fills a buffer. Other than io.ReadFull it returns the reader's own error if there is less, so
+// that io.EOF is told from a body that broke off.
+func readFull(from io.Reader, buffer []byte) (n int, err error) {
+	for n < len(buffer) && err == nil {
+		var read int
+		read, err = from.Read(buffer[n:])
+		n += read
+	}
+	if n == len(buffer) {
+		return n, nil
+	}
+	return n, err
+}
+
 // mayHaveBody reports whether a response to a method, with a status, may have a body.
 func mayHaveBody(method string, status int) bool {
 	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// writeResponse forwards a complete response.
-func (h *Handler) writeResponse(x *exchange, o *openAttempt, body []byte) {
+// writeResponse forwards a response. It closes the caller's connection if the rest of one that isn't
+// held can't be read.
+func (h *Handler) writeResponse(x *exchange, o *openAttempt, body responseBody) {
 	copyHeaders(x.w.Header(), o.response.Header)
-	if x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if length := lengthOf(o.response, body); length >= 0 && x.r.Method != http.MethodHead {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	x.w.WriteHeader(o.response.StatusCode)
-	if _, err := x.w.Write(body); err != nil {
+	if _, err := x.w.Write(body.bytes); err != nil {
 		h.recordUnwritten(x, err)
 		return
 	}
+	if !body.whole {
+		h.forwardRest(x, o)
+	}
 	x.timing.recordDelivery(x.start, 0)
 	h.recordCompleted(x, o, o.response.StatusCode)
 }
 
+// lengthOf returns the length of a response, or -1 if it isn't known yet.
+func lengthOf(response *http.Response, body responseBody) int64 {
+	if body.whole {
+		return int64(len(body.bytes))
+	}
+	return response.ContentLength
+}
+
+// forwardRest forwards the rest of a response as it comes.
+func (h *Handler) forwardRest(x *exchange, o *openAttempt) {
+	metrics.GetOrCreateCounter("oleandershunt_relay_unheld_responses_total").Inc()
+	rest := &restReader{body: o.response.Body, endless: o.response.ContentLength < 0}
+	_, err := io.CopyBuffer(struct{ io.Writer }{x.w}, rest, make([]byte, readBufferBytes))
+	switch {
+	case err == nil:
+		if err = h.checkEnd(o, false); err == nil {
+			return
+		}
+		h.logFailedResponse(x, o, err)
+		h.recordBroken(x, o, err)
+	case rest.err == nil:
+		h.recordUnwritten(x, err)
+		panic(http.ErrAbortHandler)
+	case x.ctx.Err() == nil:
+		h.logFailedResponse(x, o, err)
+		h.recordBroken(x, o, err)
+	}
+	h.abandon(x, true, ReasonBroken)
+}
+
+// restReader reads the rest of a response, and tells errors of reading from those of writing.
+type restReader struct {
+	body io.Reader
+	// endless is set for a response without a length, of which read bytes were read.
+	endless bool
+	read    int
+	err     error
+}
+
+// Read implements io.Reader.
+func (r *restReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	r.read += n
+	if r.endless && r.read > maxBufferedResponse {
+		err = errEndless
+	}
+	if err != nil && err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 func copyHeaders(to, from http.Header) {
 	for name, values := range from {
 		to[name] = append([]string(nil), values...)
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -116,7 +116,9 @@
 func poisonBody(x *exchange) poison.Body {
 	hash := xxhash.New()
 	_, _ = hash.WriteString(x.r.Method + "\n" + x.r.URL.RequestURI() + "\n") // a hash takes any bytes
-	_, _ = hash.Write(x.body)
+	for _, chunk := range x.body.chunks {
+		_, _ = hash.Write(chunk)
+	}
 	return poison.Body{Account: x.account.Name, Pipeline: x.r.Host + x.r.URL.Path, Hash: max(hash.Sum64(), 1)}
 }
 
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -29,6 +29,7 @@
 	ReasonStale         Reason = "configuration_unproven"
 	ReasonBodyTooLarge  Reason = "body_too_large"
 	ReasonBodyUnread    Reason = "body_unread"
+	ReasonBodySlow      Reason = "body_too_slow"
 	ReasonBusy          Reason = "vm_busy"
 	ReasonNoServer      Reason = "no_server"
 	ReasonOverloaded    Reason = "overloaded"
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -174,7 +174,7 @@
 		x.recordFailure(o.choice)
 		return uncertain, fmt.Errorf("status %d", status)
 	}
-	o.events = newEventReader(o.response.Body, x.after)
+	o.events = h.newEventReader(o.response.Body, x.after)
 	err := o.events.readAhead()
 	if err == io.EOF && !o.events.hasPartial() {
 		if err = h.checkEnd(o, x.events == 0); err == nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -21,6 +21,11 @@
 	wait := remainingWaits(x)
 	reason, started := ReasonNoServer, false
 	var o *openAttempt
+	defer func() {
+		if o != nil { // a panic
+			o.close(h.Dispatcher)
+		}
+	}()
 	for {
 		if o == nil {
 			if o = h.startAttempt(x, wait, started, reason); o == nil {
@@ -188,7 +193,7 @@
 // handleStreamFailure handles a server's own failure: it is retried once where the request may
 // be repeated, otherwise forwarded.
 func (h *Handler) handleStreamFailure(x *exchange, o *openAttempt, started bool) (outcome, bool) {
-	body, err := io.ReadAll(io.LimitReader(o.response.Body, maxBufferedResponse))
+	body, err := h.holdBody(o)
 	o.stopWatchdog(x)
 	if x.route.Repeat != routes.AtMostOnce && h.mayRunElsewhere(x, append(x.ranOn, o.choice.First.ID)) || started || err != nil {
 		h.logFailedResponse(x, o, err)
@@ -224,10 +229,10 @@
 
 // forwardEvents forwards complete events as they arrive.
 func (h *Handler) forwardEvents(x *exchange, o *openAttempt) error {
-	events := o.events
-	if events == nil {
-		events = newEventReader(o.response.Body, x.after)
+	if o.events == nil {
+		o.events = h.newEventReader(o.response.Body, x.after)
 	}
+	events := o.events
 	for {
 		complete, readErr := events.next()
 		if len(complete) > 0 {
