End responses that have no end, wherever they are read

A body without a length and an event are bounded at 1 MiB as before. The connection is closed, the request goes to another server, and the server gets no new requests for 2 s.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,6 +27,8 @@
 	// slowRefusal is the duration from which a refusal counts as caused by an unresponsive
 	// server on the path: a full server refuses at once.
 	slowRefusal = time.Second
+	// suspectEndless keeps new requests off a server whose response was longer than any that is allowed.
+	suspectEndless = 2 * time.Second
 	// suspectUnresponsive keeps new requests off an unresponsive server until the platform has
 	// detected the failure: three missed heartbeats plus the time to list the servers.
 	suspectUnresponsive = 4 * time.Second
@@ -216,6 +218,7 @@
 		x.refusals++
 		return notExecuted
 	}
+	h.avoidEndless(o, err)
 	h.recordBroken(x, o, err)
 	return uncertain
 }
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -118,7 +118,7 @@
 		end += length
 	}
 	if len(e.pending)-end > maxEventBytes {
-		return nil, fmt.Errorf("event of more than %d bytes", maxEventBytes)
+		return nil, fmt.Errorf("%w: event of more than %d bytes", errEndless, maxEventBytes)
 	}
 	complete := append([]byte(nil), e.pending[:end]...)
 	e.pending = append(e.pending[:0], e.pending[end:]...)
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -95,6 +95,7 @@
 		if x.ctx.Err() == nil {
 			h.logFailedResponse(x, o, err)
 		}
+		h.avoidEndless(o, err)
 		h.recordBroken(x, o, err)
 		return responseBody{}, uncertain
 	}
@@ -139,9 +140,6 @@
 	return responseBody{bytes: held}, nil
 }
 
-// errEndless marks a response without a length that is longer than any that is held: it may have no end.
-var errEndless = errors.New("response has no length and doesn't end")
-
 // readFull fills a buffer. Other than io.ReadFull it returns the reader's own error if there is less, so
 // that io.EOF is told from a body that broke off.
 func readFull(from io.Reader, buffer []byte) (n int, err error) {
@@ -205,6 +203,7 @@
 		panic(http.ErrAbortHandler)
 	case x.ctx.Err() == nil:
 		h.logFailedResponse(x, o, err)
+		h.avoidEndless(o, err)
 		h.recordBroken(x, o, err)
 	}
 	h.abandon(x, true, ReasonBroken)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -159,6 +159,7 @@
 	if !o.replaced() {
 		h.logFailedResponse(x, o, err)
 	}
+	h.avoidEndless(o, err)
 	if errors.Is(err, errTruncatedEvent) && !endsWithConnection(o.response) || errors.Is(err, errBadEvents) {
 		x.recordFailure(o.choice)
 		return
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -26,6 +26,9 @@
 	writeBytes = 1 << 10
 )
 
+// maxHeadBytes bounds the head of a response: a server in trouble may send one that doesn't end.
+const maxHeadBytes = 64 << 10
+
 // countingConn counts the bytes that the kernel took from the process.
 type countingConn struct {
 	net.Conn
@@ -75,6 +78,8 @@
 		IdleConnTimeout:    idleTime,
 		ReadBufferSize:     readBytes,
 		WriteBufferSize:    writeBytes,
+		// The default of net/http is 10 MB for each response.
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
