Keep what crashes servers in the platform's store, for when all VMs end at once

A request that crashes servers, found out and refused, ran again after all VMs were killed together, since nothing outlives them.

--- a/internal/edge/crashing_test.go
+++ b/internal/edge/crashing_test.go
@@ -307,3 +307,39 @@
 	load.Wait()
 	r.Expect(r.lateSends(3)).To(BeNumerically("<=", maxLateSends), "%d ends", r.endCount())
 }
+
+// Guards against a request that crashes servers, found out and refused, that runs again once all VMs were
+// killed together.
+func TestBlockedContentOutlivesAllVMs(t *testing.T) {
+	t.Parallel()
+	r := newCrashRig(t, 3, false)
+	r.addServers(6, backends.Server{Service: "app"}, r.plainServer)
+	for i, vm := range r.vms {
+		r.Expect(vm.callUntilOK("/plain/a", fmt.Sprint("warm-", i)).Body.Close()).To(Succeed())
+	}
+	r.repeatFor(3*time.Second+2*maxRestartTime, 0, 50*time.Millisecond, "crash", crashPath)
+	r.Expect(r.endCount()).To(BeNumerically(">=", 3))
+	for _, vm := range r.vms {
+		vm.stop()
+	}
+	for _, vm := range r.vms {
+		r.Eventually(vm.ended, "15s").Should(Receive())
+	}
+	time.Sleep(maxRestartTime)
+	before := r.endCount()
+	for i := range r.vms {
+		vm := &rig{WithT: NewWithT(t), t: t, store: r.store, storeConn: newStoreConn(r.store), engines: newHTTPEngines, dial: r.dialOver(r.links[i])}
+		seed := ""
+		if i > 0 {
+			seed = r.vms[0].settings.PeerAddress
+		}
+		vm.startOnFreePorts(fmt.Sprint("vm-", i+1), seed)
+		r.vms[i] = vm
+	}
+	for i, vm := range r.vms {
+		r.Expect(vm.callUntilOK("/plain/a", fmt.Sprint("again-", i)).Body.Close()).To(Succeed())
+	}
+	time.Sleep(time.Second) // within the contact time all VMs know it
+	r.repeatFor(4*time.Second, 0, 50*time.Millisecond, "later", crashPath)
+	r.Expect(r.endCount()-before).To(BeZero(), "servers that ended after the restart")
+}
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -83,6 +83,7 @@
 	countContent("blocked")
 	telemetry.ContentBlocked.Log(h.Log, append(contentFields(content), "lost", describeLosses(losses))...)
 	if content.Part {
+		h.keepBlock(now, content.Hash, blockedPart(content, losses))
 		return
 	}
 	finding := poison.Finding{
@@ -91,6 +92,7 @@
 	}
 	h.suspects.table.MergeFinding(now, finding)
 	h.suspects.queueFinding(newTimedFinding(finding))
+	h.keepBlock(now, content.Hash, []timedFinding{newTimedFinding(finding)})
 }
 
 // bodyOf returns the key of a whole body in the table of crashes.
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -55,6 +55,8 @@
 	OnUnresponsive func(id string)
 	// OnFindings, if set, is called when there are findings that the other VMs need at once.
 	OnFindings func()
+	// OnBlocked, if set, is called with content that is to be kept for VMs that start later.
+	OnBlocked func(Block)
 	// StallTimeout is how long a stream may be silent before the handler checks its path.
 	StallTimeout time.Duration
 	// Saturated, if set, reports whether the VM refuses new requests since it has reached one of its
--- a/internal/relay/poison.go
+++ b/internal/relay/poison.go
@@ -214,6 +214,7 @@
 		case <-h.suspects.nextEvaluation(last):
 			last = bootclock.Now()
 			for _, finding := range h.suspects.evaluate() {
+				h.keepBlocked(finding)
 				telemetry.RelayPoison.Log(h.Log, "account", finding.Account, "path", finding.Pipeline, "hash", finding.Hash,
 					"crashes", finding.Crashes, "server", finding.Server, "condemned", finding.Blocked)
 			}
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -62,6 +62,9 @@
 	EntryDecided       = Event{6110, "backend server whose entry was missing is removed, or its entry is back"}
 	RelayProofLost     = Event{2103, "configuration is not proven to be the newest"}
 	RelayProofBack     = Event{2104, "configuration is proven to be the newest again"}
+	BlocksRead         = Event{2106, "contents that crash backend servers are read from the platform"}
+	BlockUnread        = Event{2107, "content that crashes backend servers can't be read from the platform"}
+	BlockNotKept       = Event{2108, "content that crashes backend servers can't be kept in the platform"}
 	RelayConfigUnread  = Event{2105, "configuration can't be read from the platform"}
 	PlacerHeld         = Event{7101, "this VM orders the layers of its data centre"}
 	PlacerLost         = Event{7102, "another VM orders the layers of the data centre"}
