--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -23,6 +24,8 @@
 	bodyCrashes  = 3
 	partCrashes  = 5
 	maxLateSends = 3
+	// firstDarkPart is the number of the first part under which servers go dark.
+	firstDarkPart = 1 << 20
 	// skewFor is how much longer than its fault a skew lasts.
 	skewFor = 6 * time.Second
 )
@@ -31,11 +34,14 @@
 // their prompts.
 func (w *world) sendCrashing(f Fault) {
 	n := f.Target + 1
+	if f.Kind == DarkPart {
+		n += firstDarkPart
+	}
 	var requests []<-chan struct{}
 	for i, until := 0, time.Now().Add(crashingFor+f.For); time.Now().Before(until); i++ {
 		v, id := w.vms[i%len(w.vms)], w.callers.nextID()
 		r := request{id: id, route: standin.FreeRoute, account: standin.Account, path: standin.CrashPath(n), body: "{}", crashing: true}
-		if f.Kind == CrashingPart {
+		if f.Kind != CrashingBody {
 			r.route, r.path, r.body, r.crashPart = standin.StreamRoute, pathOf(standin.StreamRoute, id), bodyOf(id), n
 		}
 		requests = append(requests, w.callers.start(v, r, false))
@@ -58,10 +64,7 @@
 	w.wait.Add(1)
 	w.mu.Unlock()
 	end := w.beginDisturbance(disturbancesOf(s.ID, func(f *observations) map[string]*spans { return f.servers }))
-	if err := s.proxy.setTarget(""); err != nil {
-		w.fail(err)
-	}
-	go func() {
+	restart := func() {
 		defer w.wait.Done()
 		s.Kill()
 		time.Sleep(crashDown)
@@ -72,7 +75,44 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		s.inFault = false
-	}()
+	}
+	if isDark(content) {
+		w.darken(s)
+		go restart()
+		return
+	}
+	if err := s.proxy.setTarget(""); err != nil {
+		w.fail(err)
+	}
+	go restart()
+}
+
+// isDark reports whether servers go dark under a content.
+func isDark(content string) bool {
+	n, err := strconv.Atoi(strings.TrimPrefix(content, standin.CrashPart(0)[:len(standin.CrashPart(0))-1]))
+	return err == nil && n > firstDarkPart
+}
+
+// darken makes a server dark for as long as it is down.
+func (w *world) darken(s *server) {
+	s.SetUnresponsive(true)
+	s.proxy.setMode(blackholed)
+	w.setDark(s.proxy.address, true)
+	time.Sleep(crashDown)
+	if err := s.proxy.setTarget(""); err != nil {
+		w.fail(err)
+	}
+	s.proxy.setMode(forwarding)
+	w.setDark(s.proxy.address, false)
+}
+
+// setDark has the VMs' connects to an address hang, or ends that.
+func (w *world) setDark(address string, dark bool) {
+	for _, v := range w.vms {
+		if err := v.setDark(address, dark); err != nil {
+			w.fail(err)
+		}
+	}
 }
 
 // skew sends most requests to one VM for a time.
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,9 +27,30 @@
 // cutTime is how long a fault cuts VMs off from the servers.
 func cutTime(f Fault) time.Duration { return bounds.Contact + minCutServing + f.For }
 
-// setLinks sets the state of a VM's links to the servers, which its program reads from a file.
+// setLinks sets the state of a VM's links to the servers.
 func (v *vm) setLinks(state cutlink.State) error {
-	return os.WriteFile(v.settings+".links", []byte(state), 0o600)
+	v.stateMu.Lock()
+	defer v.stateMu.Unlock()
+	v.links = state
+	return v.writeLinks()
+}
+
+// setDark has a VM's connects to a server hang, or ends that.
+func (v *vm) setDark(address string, dark bool) error {
+	v.stateMu.Lock()
+	defer v.stateMu.Unlock()
+	v.dark = slices.DeleteFunc(v.dark, func(other string) bool { return other == address })
+	if dark {
+		v.dark = append(v.dark, address)
+	}
+	return v.writeLinks()
+}
+
+// writeLinks writes the file from which the VM's program reads the state of its links. v.stateMu must be
+// held.
+func (v *vm) writeLinks() error {
+	lines := append([]string{string(v.links)}, v.dark...)
+	return os.WriteFile(v.settings+".links", []byte(strings.Join(lines, "\n")), 0o600)
 }
 
 // cutFromServers cuts the VMs of a fault off from all servers.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -68,6 +68,11 @@
 	StoreSilence Kind = "store_silence"
 	// ServerMute: a model server is sound, but streams through it pause.
 	ServerMute Kind = "server_mute"
+	// DarkPart: requests with one part of their prompts in common come, under which servers go dark: they
+	// accept no connections, and open ones are silent. Uploads: many callers upload slowly, and half of the
+	// VMs are killed together meanwhile.
+	DarkPart Kind = "dark_part"
+	Uploads  Kind = "uploads"
 	// ConfigChange is a new version of the operator's configuration.
 	ConfigChange Kind = "config_change"
 )
@@ -97,6 +102,31 @@
 	silentStoreFirst = 1
 )
 
+// soundKinds are no disturbance: nothing excuses what is lost under them. heavyKinds take much of the VMs or
+// of the servers.
+var (
+	soundKinds = []Kind{ServerMute}
+	heavyKinds = []Kind{Uploads, DarkPart}
+)
+
+// Every heavyPlans-th seed has uploads, and the one after it servers that go dark.
+const heavyPlans = 4
+
+// heavyPlan returns the faults of a seed that take much of the VMs or of the servers.
+func heavyPlan(seed uint64) []Fault {
+	switch seed % heavyPlans {
+	case 0:
+		return []Fault{{At: 2 * time.Second, For: minFaultTime, Kind: Uploads, Target: int(seed)}}
+	case 1:
+		return []Fault{{At: 2 * time.Second, For: minFaultTime, Kind: DarkPart, Target: int(seed)}}
+	default:
+		return nil
+	}
+}
+
+// hasUploads reports whether a seed has uploads.
+func hasUploads(seed uint64) bool { return seed%plannedOnly != 0 && seed%heavyPlans == 0 }
+
 // floodKinds are in the plans of all seeds: a flood excuses no lost request.
 var floodKinds = []Kind{FloodOne, FloodAll}
 
@@ -154,6 +184,7 @@
 		plan = append(plan, rarePlan(seriesKinds, seed, 3, within)...)
 		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 		plan = append(plan, rarePlan(crashKinds, seed, 5, within)...)
+		plan = append(plan, heavyPlan(seed)...)
 	}
 	if calm {
 		plan = append(plan, mutePlan(seed, within)...)
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -65,6 +66,15 @@
 	return p.listen()
 }
 
+// end stops listening and leaves connections to end with their target, as those of a process that is
+// killed.
+func (p *proxy) end() error {
+	p.mu.Lock()
+	p.target = ""
+	p.mu.Unlock()
+	return p.close()
+}
+
 // close stops listening.
 func (p *proxy) close() error {
 	p.mu.Lock()
@@ -98,9 +108,7 @@
 	defer p.mu.Unlock()
 	// A connection that copy closes, since its other side was, must be reset as well.
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a connection that is gone needs no reset
-		}
+		setReset(conn)
 	}
 	for conn := range p.conns {
 		_ = conn.Close()
@@ -108,6 +116,13 @@
 	clear(p.conns)
 }
 
+// setReset makes the close of a connection reset it.
+func setReset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // a connection that is gone needs no reset
+	}
+}
+
 func (p *proxy) accept(listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -193,6 +208,10 @@
 			}
 		}
 		if err != nil {
+			p.awaitForwarding() // an end doesn't pass either while nothing does
+			if err != io.EOF {
+				setReset(to)
+			}
 			_ = to.Close()
 			_ = from.Close()
 			return
--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -41,7 +41,9 @@
 func (w *world) report(plan []Fault, before, after float64, held, now []usage) (Report, error) {
 	f := &w.facts
 	f.requests, f.arrivals, f.versions, f.before, f.after = w.callers.completed(), w.log.Arrivals(), w.versions, before, after
-	f.leaks = leaks(w.vms, held, now)
+	if !hasUploads(w.options.Seed) { // the collector gives memory back later
+		f.leaks = leaks(w.vms, held, now)
+	}
 	if err := w.explain(f); err != nil {
 		return Report{}, err
 	}
--- a/internal/testutil/cutlink/cutlink.go
+++ b/internal/testutil/cutlink/cutlink.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -38,6 +39,8 @@
 	conns   map[*conn]struct{}
 	// dials counts the connections that were opened.
 	dials int
+	// dark are the addresses to which connects hang.
+	dark []string
 }
 
 // New returns a link that is up.
@@ -87,6 +90,10 @@
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	case Up:
 	}
+	if l.isDark(address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	direct, err := wire.Dial(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -155,16 +162,31 @@
 // followInterval is the time between two readings of a state file.
 const followInterval = 20 * time.Millisecond
 
-// Follow sets the state that a file holds, as often as it changes. Without the file the path is up.
+// Follow sets the state that a file holds in its first line, as often as it changes. Further lines are the
+// addresses of servers to which connects hang. Without the file the path is up.
 func (l *Link) Follow(file string) {
 	for {
 		text, err := os.ReadFile(file)
 		if err != nil {
 			text = nil
 		}
-		if state, _ := l.current(); state != State(strings.TrimSpace(string(text))) {
-			l.Set(State(strings.TrimSpace(string(text))))
+		first, rest, _ := strings.Cut(string(text), "\n")
+		if state, _ := l.current(); state != State(strings.TrimSpace(first)) {
+			l.Set(State(strings.TrimSpace(first)))
 		}
+		l.setDark(strings.Fields(rest))
 		time.Sleep(followInterval)
 	}
 }
+
+func (l *Link) setDark(addresses []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dark = addresses
+}
+
+func (l *Link) isDark(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Contains(l.dark, address)
+}
