Write the head of a stream with its first event

Callers got a closed connection and no answer at all when the servers of their stream broke off after the head of the response and before any event, and no other server took it: the VM had written the head, unsent, and could only cut.

Cause: the head was written as soon as a server's head arrived, though no caller sees it before the first event is flushed. Now it is written with that event, so that the caller gets a truthful refusal (502, may_have_run) and may come back. The headers are also those of the server whose events come, if another attempt took over before.

TestAStreamWithoutAnEventIsRefusedWhenItsServersBreakOff got EOF before.

--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -64,6 +64,8 @@
 	// begun is set once the contents were cleared since the stream has begun. Guarded by the lock of
 	// the handler's suspects.
 	begun bool
+	// headWritten says that the caller has the head of a response, so that it can't be refused any more.
+	headWritten bool
 	delivered
 }
 
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -4,7 +4,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -162,11 +161,7 @@
 // writeResponse forwards a response. It closes the caller's connection if the rest of one that isn't
 // held can't be read.
 func (h *Handler) writeResponse(x *exchange, o *openAttempt, body responseBody) {
-	copyHeaders(x.w.Header(), o.response.Header)
-	if length := lengthOf(o.response, body); length >= 0 && x.r.Method != http.MethodHead {
-		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
-	}
-	x.w.WriteHeader(o.response.StatusCode)
+	x.writeHead(o, lengthOf(o.response, body))
 	if _, err := x.w.Write(body.bytes); err != nil {
 		h.recordUnwritten(x, err)
 		return
@@ -178,7 +173,7 @@
 	h.recordCompleted(x, o, o.response.StatusCode)
 }
 
-// lengthOf returns the length of a response, or -1 if it isn't known yet.
+// lengthOf returns the length of a response, or unknownLength.
 func lengthOf(response *http.Response, body responseBody) int64 {
 	if body.whole {
 		return int64(len(body.bytes))
@@ -206,7 +201,7 @@
 		h.avoidEndless(o, err)
 		h.recordBroken(x, o, err)
 	}
-	h.abandon(x, true, ReasonBroken)
+	h.abandon(x, ReasonBroken)
 }
 
 // restReader reads the rest of a response, and tells errors of reading from those of writing.
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -125,9 +125,9 @@
 // open makes attempts until one delivers events.
 func (r *replacement) open() (*openAttempt, error) {
 	h, x := r.w.h, r.x
-	started, offered := x.events > 0, false
+	offered := false
 	for {
-		o, err := h.choose(x, x.retryWaits(started))
+		o, err := h.choose(x, x.retryWaits())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -42,6 +42,8 @@
 	// makes them accept resumptions and send nothing.
 	refusal int
 	mute    bool
+	// headOnly makes servers break their responses off after the head.
+	headOnly bool
 
 	mu sync.Mutex
 	// runs are the IDs of the events after which servers were to go on, by attempt; cancelled counts the
@@ -104,6 +106,10 @@
 		<-request.Context().Done()
 		return
 	}
+	if r.headOnly {
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	if after == "" {
 		_, _ = io.WriteString(w, firstEvent)
 		w.(http.Flusher).Flush()
@@ -121,13 +127,8 @@
 
 // call returns the body that the caller gets, with "(cut)" at its end if it isn't complete.
 func (r *silenceRig) call() string {
-	request, err := http.NewRequest(http.MethodPost, r.url+"/", strings.NewReader("{}"))
-	r.Expect(err).NotTo(HaveOccurred())
-	request.Host = "a.example"
-	request.Header.Set("X-Request-Id", "r1")
-	client := &http.Client{Timeout: callerPatience}
-	response, err := client.Do(request)
-	r.Expect(err).NotTo(HaveOccurred())
+	response, err := r.send()
+	r.Expect(err).NotTo(HaveOccurred(), r.log.text())
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
@@ -136,6 +137,16 @@
 	return string(body)
 }
 
+// send sends a request and returns the head of its response.
+func (r *silenceRig) send() (*http.Response, error) {
+	request, err := http.NewRequest(http.MethodPost, r.url+"/", strings.NewReader("{}"))
+	r.Expect(err).NotTo(HaveOccurred())
+	request.Host = "a.example"
+	request.Header.Set("X-Request-Id", "r1")
+	client := &http.Client{Timeout: callerPatience}
+	return client.Do(request)
+}
+
 // Guards against cutting a stream whose servers are sound but silent for a while, because no other server
 // takes it.
 func TestAStreamOfSilentServersIsFinishedWhereOthersAreFull(t *testing.T) {
@@ -194,6 +205,21 @@
 	}, "5s").Should(Equal(1))
 }
 
+// Guards against closing a caller's connection without an answer: a stream whose servers broke off after the
+// head of their responses, before any event.
+func TestAStreamWithoutAnEventIsRefusedWhenItsServersBreakOff(t *testing.T) {
+	r := newSilenceRig(t, 0)
+	r.headOnly = true
+	response, err := r.send()
+	r.Expect(err).NotTo(HaveOccurred(), r.log.text())
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	r.Expect(err).NotTo(HaveOccurred())
+	r.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+	r.Expect(response.Header.Get("X-Response-Seal")).To(BeEmpty())
+	r.Expect(string(body)).To(ContainSubstring(`"may_have_run"`))
+}
+
 func (r *silenceRig) firstPath() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -19,7 +20,7 @@
 // serveStream serves a request whose response is a stream of events.
 func (h *Handler) serveStream(x *exchange) {
 	wait := remainingWaits(x)
-	reason, started := ReasonNoServer, false
+	reason := ReasonNoServer
 	var o *openAttempt
 	defer func() {
 		if o != nil { // a panic
@@ -28,11 +29,11 @@
 	}()
 	for {
 		if o == nil {
-			if o = h.startAttempt(x, wait, started, reason); o == nil {
+			if o = h.startAttempt(x, wait, reason); o == nil {
 				return
 			}
 		}
-		result, done := h.attemptStream(x, o, &started)
+		result, done := h.attemptStream(x, o)
 		x.recordFirstAttempt(o, result)
 		next := o.finish(x, done)
 		o.close(h.Dispatcher)
@@ -42,10 +43,10 @@
 		}
 		o = next
 		if o == nil && result != unsent {
-			if !h.mayGoOn(x, started, result) {
+			if !h.mayGoOn(x, result) {
 				return
 			}
-			reason, wait = refusalReason(result), x.retryWaits(started)
+			reason, wait = refusalReason(result), x.retryWaits()
 		}
 		if o != nil || result != unsent {
 			metrics.GetOrCreateCounter("oleandershunt_relay_resumed_total").Inc()
@@ -55,7 +56,7 @@
 
 // startAttempt chooses a server for a stream's next attempt. If there is none it ends the stream, for a
 // reason that follows from the attempt before, and returns nil.
-func (h *Handler) startAttempt(x *exchange, wait waitLimits, started bool, reason Reason) *openAttempt {
+func (h *Handler) startAttempt(x *exchange, wait waitLimits, reason Reason) *openAttempt {
 	o, err := h.choose(x, wait)
 	if err == nil {
 		return o
@@ -64,7 +65,7 @@
 	if errors.Is(err, backends.ErrFull) {
 		reason = ReasonOverloaded
 	}
-	h.abandon(x, started, reason)
+	h.abandon(x, reason)
 	return nil
 }
 
@@ -77,23 +78,22 @@
 }
 
 // mayGoOn reports whether a stream is to be sent to another server after a result, and otherwise ends it.
-func (h *Handler) mayGoOn(x *exchange, started bool, result outcome) bool {
+func (h *Handler) mayGoOn(x *exchange, result outcome) bool {
 	if result == heldBack {
-		h.abandon(x, started, ReasonHeldBack)
+		h.abandon(x, ReasonHeldBack)
 		return false
 	}
 	if !h.mayRetry(x, result) {
-		h.abandon(x, started, refusalReason(result))
+		h.abandon(x, refusalReason(result))
 		return false
 	}
 	return true
 }
 
-// retryWaits returns how long a request waits for a server after an attempt. started says that the
-// caller has the head of a response.
-func (x *exchange) retryWaits(started bool) waitLimits {
+// retryWaits returns how long a request waits for a server after an attempt.
+func (x *exchange) retryWaits() waitLimits {
 	wait := remainingWaits(x)
-	if !started {
+	if x.events == 0 {
 		wait.path = 0
 	}
 	return wait
@@ -101,8 +101,8 @@
 
 // abandon ends a request that could not be completed. A response that has begun is aborted so
 // that it can't be mistaken for a complete one.
-func (h *Handler) abandon(x *exchange, started bool, reason Reason) {
-	if !started {
+func (h *Handler) abandon(x *exchange, reason Reason) {
+	if !x.headWritten {
 		h.refuse(x, h.finalRefusal(x, reason))
 		return
 	}
@@ -116,7 +116,7 @@
 
 // attemptStream sends the request, unless that was done, and forwards events until the stream ends or
 // breaks. done says that no further attempt is needed.
-func (h *Handler) attemptStream(x *exchange, o *openAttempt, started *bool) (end outcome, done bool) {
+func (h *Handler) attemptStream(x *exchange, o *openAttempt) (end outcome, done bool) {
 	defer o.stopWatchdog(x)
 	if o.response == nil {
 		h.startWatchdog(x, o)
@@ -129,16 +129,12 @@
 		}
 	}
 	if o.response.StatusCode != http.StatusOK {
-		return h.handleStreamFailure(x, o, *started)
-	}
-	if !*started {
-		copyHeaders(x.w.Header(), o.response.Header)
-		x.w.WriteHeader(http.StatusOK)
-		*started = true
+		return h.handleStreamFailure(x, o)
 	}
 	err := h.forwardEvents(x, o)
 	o.stopWatchdog(x)
 	if err == nil {
+		x.writeHead(o, unknownLength)
 		h.recordCompleted(x, o, http.StatusOK)
 		return responded, true
 	}
@@ -193,10 +189,10 @@
 
 // handleStreamFailure handles a server's own failure: it is retried once where the request may
 // be repeated, otherwise forwarded.
-func (h *Handler) handleStreamFailure(x *exchange, o *openAttempt, started bool) (outcome, bool) {
+func (h *Handler) handleStreamFailure(x *exchange, o *openAttempt) (outcome, bool) {
 	body, err := h.holdBody(o)
 	o.stopWatchdog(x)
-	if x.route.Repeat != routes.AtMostOnce && h.mayRunElsewhere(x, append(x.ranOn, o.choice.First.ID)) || started || err != nil {
+	if x.route.Repeat != routes.AtMostOnce && h.mayRunElsewhere(x, append(x.ranOn, o.choice.First.ID)) || x.headWritten || err != nil {
 		h.logFailedResponse(x, o, err)
 		x.recordFailure(o.choice)
 		return uncertain, false
@@ -259,10 +255,28 @@
 	}
 }
 
+// unknownLength is the length of a response whose end isn't known yet.
+const unknownLength = -1
+
+// writeHead writes the head of an attempt's response to the caller, once. That of a stream is written with
+// its first event: a caller whose servers break off before can still be refused.
+func (x *exchange) writeHead(o *openAttempt, length int64) {
+	if x.headWritten {
+		return
+	}
+	x.headWritten = true
+	copyHeaders(x.w.Header(), o.response.Header)
+	if length >= 0 && x.r.Method != http.MethodHead {
+		x.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	x.w.WriteHeader(o.response.StatusCode)
+}
+
 // deliver writes events to the caller.
 func (h *Handler) deliver(x *exchange, o *openAttempt, complete []byte) error {
 	start := time.Now()
 	o.pace.recordRead(start)
+	x.writeHead(o, unknownLength)
 	if _, err := x.w.Write(complete); err != nil {
 		return fmt.Errorf("%w: %w", errCallerGone, err)
 	}
