--- a/internal/relay/move.go
+++ b/internal/relay/move.go
@@ -67,7 +67,7 @@
 		return
 	}
 	if err != nil {
-		if w.replaceLocked(replaceStalled, w.o.choice.First.ID) {
+		if w.replaceLocked(replaceStalled, w.o.choice.First.ID) && w.isFirstLocked(telemetry.RelayNotMoved, faulty) {
 			telemetry.RelayNotMoved.Log(w.h.Log, "request", w.base.call.ID, "blamed", faulty, "cause", err.Error())
 		}
 		return
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -206,7 +206,7 @@
 func (w *watchdog) replaceForPathLoss() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.replaceLocked(replacePathLost) {
+	if w.replaceLocked(replacePathLost) && w.isFirstLocked(telemetry.RelayPathLost, w.o.choice.First.ID) {
 		telemetry.RelayPathLost.Log(w.h.Log, "request", w.base.call.ID, "server", w.o.choice.First.ID)
 	}
 }
@@ -259,7 +259,9 @@
 }
 
 func (w *watchdog) logStalled(first backends.Server, err error) {
-	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
+	if w.isFirst(telemetry.RelayStalled, first.ID) {
+		telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", first.ID, "cause", telemetry.Cause(err))
+	}
 }
 
 // pathWatch ends an attempt without a watchdog whose path is lost.
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -95,8 +95,7 @@
 	if err == nil && w.h.mayRunAgain(&w.base, sends) && w.h.mayRunElsewhere(&w.base, append(appendMissing(nil, w.ranOn...), first)) {
 		return true
 	}
-	if !w.waitLogged {
-		w.waitLogged = true
+	if w.isFirstLocked(telemetry.RelayWaits, "") {
 		telemetry.RelayWaits.Log(w.h.Log, "request", w.base.call.ID, "first", first, "sends", sends, "cause", telemetry.Cause(err))
 	}
 	return false
@@ -244,7 +243,7 @@
 
 // endFailedLocked records that no server goes on with the request.
 func (w *watchdog) endFailedLocked(r *replacement, err error) {
-	if w.base.ctx.Err() == nil {
+	if w.base.ctx.Err() == nil && w.isFirstLocked(telemetry.RelayNotReplaced, r.reason.name) {
 		telemetry.RelayNotReplaced.Log(w.h.Log, "request", w.base.call.ID, "first", w.o.choice.First.ID, "reason", r.reason.name, "cause", telemetry.Cause(err))
 	}
 	if !w.ended { // otherwise the request's goroutine waits for it
--- a/internal/relay/replace_test.go
+++ b/internal/relay/replace_test.go
@@ -168,6 +168,19 @@
 	}
 }
 
+// Guards against a log that fills up while streams are silent, as the same is found out again and again.
+func TestASilentStreamLogsEachFindingOnce(t *testing.T) {
+	r := newSilenceRig(t, 3*time.Second)
+	r.refusal, r.engines.refuse = http.StatusServiceUnavailable, true
+	r.engines.stalled = r.serverAt(2)
+	r.Expect(r.call()).To(Equal(completeBody), r.log.text())
+	for _, event := range []string{"4206", "4209", "4211", "4212", "4221", "4235"} {
+		lines := strings.Count(r.log.text(), `"event"=`+event+" ")
+		r.Expect(lines).To(BeNumerically("<=", 1), "event %s: %s", event, r.log.text())
+	}
+	r.Expect(r.log.text()).To(ContainSubstring(`"event"=4235 `))
+}
+
 // Guards against cutting a stream whose servers are sound but silent, because the server that was to go on
 // with it is silent, too.
 func TestAStreamOfSilentServersIsFinishedWhereAnotherIsMute(t *testing.T) {
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -51,9 +51,15 @@
 	// once it has taken over. mayReplace is unset while this attempt is one itself.
 	replacement          *replacement
 	replaced, mayReplace bool
-	// waitLogged says that the log has a line on the attempt continuing because there was no retry or
-	// no other path.
-	waitLogged bool
+	// logged has the lines on the attempt that the log has. What they say recurs each time that it is
+	// inspected.
+	logged map[watchdogLine]bool
+}
+
+// watchdogLine is a log line on an attempt: its event, and the server or reason that it is about.
+type watchdogLine struct {
+	event telemetry.Event
+	about string
 }
 
 // startWatchdog starts monitoring an attempt. Requests that may not run twice and services
@@ -180,6 +186,26 @@
 	return x
 }
 
+// isFirst reports whether the log has no such line on the attempt yet.
+func (w *watchdog) isFirst(event telemetry.Event, about string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.isFirstLocked(event, about)
+}
+
+// isFirstLocked must be called with the lock held.
+func (w *watchdog) isFirstLocked(event telemetry.Event, about string) bool {
+	line := watchdogLine{event, about}
+	if w.logged[line] {
+		return false
+	}
+	if w.logged == nil {
+		w.logged = make(map[watchdogLine]bool)
+	}
+	w.logged[line] = true
+	return true
+}
+
 func (w *watchdog) isReplaced() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -249,7 +275,9 @@
 		w.resetTimer(w.h.StallTimeout / 2)
 		return
 	}
-	telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
+	if w.isFirst(telemetry.RelayStalled, faulty) {
+		telemetry.RelayStalled.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID, "blamed", faulty, "cause", "")
+	}
 	go w.h.checkDark(faulty)
 	if w.h.OnUnresponsive != nil {
 		// Only what a server reports is shared with other VMs: a failed connection of this VM
@@ -290,7 +318,7 @@
 	w.h.Dispatcher.suspect(first.ID, suspectAfterLostResponse)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.replaceLocked(replaceAnswerLost, first.ID) {
+	if w.replaceLocked(replaceAnswerLost, first.ID) && w.isFirstLocked(telemetry.RelayAnswerLost, first.ID) {
 		telemetry.RelayAnswerLost.Log(w.h.Log, "request", w.base.call.ID, "first", first.ID)
 	}
 }
