Ask the VM in between last whether an answer is whole

An answer without a length that came through another VM was taken for whole when that VM was killed: the check of the VM was a connect made at once after the end, while the kernel closes a process's connections and its listener one after the other. The VM is now asked after the server's check, which begins 20 ms after the end.

--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -178,12 +178,13 @@
 	if empty {
 		return errEmptyResponse
 	}
-	if tunnel := o.tunnel(); tunnel != nil && !h.Servers.VMResponds(o.ctx, tunnel.VM) {
-		return errEndedWithVM
-	}
 	if verdict := h.Servers.CheckEnd(o.ctx, o.sentTo.First.Address); verdict == serverconn.Ended || verdict == serverconn.Unknown {
 		return errEndedWithServer
 	}
+	// Only now: a VM whose process is killed accepts connections for a moment after its tunnels were closed.
+	if tunnel := o.tunnel(); tunnel != nil && !h.Servers.VMResponds(o.ctx, tunnel.VM) {
+		return errEndedWithVM
+	}
 	return nil
 }
 
--- a/internal/relay/undelimited_test.go
+++ b/internal/relay/undelimited_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -80,7 +81,29 @@
 }
 
 // otherVM is a VM through which servers are reached. It may have ended when a response has.
-type otherVM struct{ responds bool }
+type otherVM struct {
+	responds bool
+	// listens is how long a VM that has ended accepts connections after its tunnels were closed, as the
+	// kernel closes them one after the other.
+	listens time.Duration
+	// closedAt is when a tunnel was closed, in Unix nanoseconds.
+	closedAt atomic.Int64
+}
+
+// observedConn records in a VM when the connection ends.
+type observedConn struct {
+	net.Conn
+	vm *otherVM
+}
+
+// Read implements net.Conn.
+func (c observedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		c.vm.closedAt.CompareAndSwap(0, time.Now().UnixNano())
+	}
+	return n, err
+}
 
 // HasVMs implements serverconn.Tunnels.
 func (*otherVM) HasVMs() bool { return true }
@@ -89,16 +112,18 @@
 func (*otherVM) SetAside(string, string) {}
 
 // Dial implements serverconn.Tunnels.
-func (*otherVM) Dial(ctx context.Context, address string) (*tunnel.Conn, error) {
+func (v *otherVM) Dial(ctx context.Context, address string) (*tunnel.Conn, error) {
 	conn, err := wire.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	return tunnel.NewConn(conn, "vm-2"), nil
+	return tunnel.NewConn(observedConn{conn, v}, "vm-2"), nil
 }
 
 // Responds reports whether the VM lives.
-func (v *otherVM) Responds(context.Context, string) bool { return v.responds }
+func (v *otherVM) Responds(context.Context, string) bool {
+	return v.responds || time.Since(time.Unix(0, v.closedAt.Load())) < v.listens
+}
 
 func (r *undelimitedRig) accept(listener net.Listener) {
 	for {
@@ -241,9 +266,11 @@
 		status, body := r.call(path)
 		r.Expect(status).To(Equal(http.StatusOK))
 		r.Expect(body).To(Equal(whole))
-		r = newUndelimitedRigOver(t, &otherVM{}, whole)
-		if status, body = r.call(path); status == http.StatusOK {
-			r.Expect(body).To(Equal("cut"), path)
+		for _, ended := range []*otherVM{{}, {listens: 10 * time.Millisecond}} {
+			r = newUndelimitedRigOver(t, ended, whole)
+			if status, body = r.call(path); status == http.StatusOK {
+				r.Expect(body).To(Equal("cut"), "%s, listens for %s", path, ended.listens)
+			}
 		}
 	}
 }
