Have the soak find the planted memory and crash defects, and compare cut off VMs by service

Callers of streams that end servers leave after 2 s, as callers do. Every third server ends all of its responses with their connections.

Requests that another VM serves at the time count as before.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -24,6 +24,8 @@
 	bodyCrashes  = 3
 	partCrashes  = 5
 	maxLateSends = 3
+	// streamPatience is how long the callers of crashing streams wait.
+	streamPatience = 2 * time.Second
 	// firstDarkPart is the number of the first part under which servers go dark.
 	firstDarkPart = 1 << 20
 	// skewFor is how much longer than its fault a skew lasts.
@@ -42,6 +44,7 @@
 		v, id := w.vms[i%len(w.vms)], w.callers.nextID()
 		r := request{id: id, route: standin.FreeRoute, account: standin.Account, path: standin.CrashPath(n), body: "{}", crashing: true}
 		if f.Kind != CrashingBody {
+			r.patience = streamPatience
 			r.route, r.path, r.body, r.crashPart = standin.StreamRoute, pathOf(standin.StreamRoute, id), bodyOf(id), n
 		}
 		requests = append(requests, w.callers.start(v, r, false))
--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -103,20 +103,33 @@
 // that servers set.
 var refusedOnAllVMs = map[string]bool{"crashes_servers": true, "held_back": true, "servers_limited": true}
 
+// sameTime is the time between two requests at most of which one shows whether the other could be served.
+const sameTime = time.Second
+
 // checkCutOff compares what is served by the VMs that are cut off from the servers with the others,
 // from the contact time after the cut on. What is refused for a flood doesn't show the cut: the VM that gets most of
-// the requests refuses most of them.
+// the requests refuses most of them. Nor do requests of a service of which no VM serves any at the time.
 func (f *observations) checkCutOff() []finding {
 	var cut, others served
+	var atCut []request
+	servedElsewhere := make(map[string][]time.Time)
 	for _, r := range f.requests {
 		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || f.isRefusedForAFlood(r) || refusedOnAllVMs[r.reason] {
 			continue
 		}
 		switch {
 		case f.links[r.vm].within(r.sent, r.ended, f.bounds.Contact):
-			cut.count(r)
+			atCut = append(atCut, r)
 		case f.links[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) && f.anyCut(r):
 			others.count(r)
+			if service := serviceOf(r.route); r.complete {
+				servedElsewhere[service] = append(servedElsewhere[service], r.sent)
+			}
+		}
+	}
+	for _, r := range atCut {
+		if slices.ContainsFunc(servedElsewhere[serviceOf(r.route)], func(sent time.Time) bool { return sent.Sub(r.sent).Abs() <= sameTime }) {
+			cut.count(r)
 		}
 	}
 	failed := cut.all - cut.complete
--- a/internal/soak/uploads.go
+++ b/internal/soak/uploads.go
@@ -19,11 +19,13 @@
 const (
 	// uploaders is the number of callers that upload, one body after the other, and uploadFor how much
 	// longer than their fault they do.
-	uploaders   = 120
+	uploaders   = 240
 	uploadFor   = 10 * time.Second
-	uploadBytes = 3 << 20
-	uploadTime  = 3 * time.Second
+	uploadBytes = 4 << 20
+	uploadTime  = 4 * time.Second
 	uploadPart  = 64 << 10
+	// uploadPause is the time between two bodies of a caller, as refusals ask for.
+	uploadPause = 500 * time.Millisecond
 	// killAfter is the time from the beginning until half of the VMs are killed, and downFor how long they
 	// are down.
 	killAfter = 4 * time.Second
@@ -81,6 +83,7 @@
 				}
 				id := w.callers.nextID()
 				<-w.callers.start(v, request{id: id, route: standin.OnceRoute, account: drawAccount(random), path: pathOf(standin.OnceRoute, id), body: uploadDigest(), upload: true}, false)
+				time.Sleep(uploadPause)
 			}
 		})
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -110,6 +110,9 @@
 	return len(w.versions)
 }
 
+// undelimitedServers is the interval between servers whose responses all end with their connections.
+const undelimitedServers = 3
+
 // modelSlots are the slots of a model server: few enough that a flood fills them.
 const modelSlots = 6
 
@@ -124,7 +127,7 @@
 	options := standin.Options{
 		ID: fmt.Sprintf("i-%d", w.serversCreated), Service: standin.PlainService, DataCentre: dataCentres[w.serversCreated%len(dataCentres)],
 		Slots: 24, Work: 900 * time.Millisecond, Address: way.address,
-		Queues: !w.options.Rejecting,
+		Queues: !w.options.Rejecting, Undelimited: w.serversCreated%undelimitedServers == 0,
 	}
 	if card != "" {
 		options.Service, options.Card, options.Layers = standin.ModelService, card, standin.ModelLayers
