Log the requests that the end of a stop cuts

Requests that are still in flight when the grace of a planned stop is over were cut with a count only (1005); each left a line saying that its caller had left (4207), or none, as the process ended first.

Each has a line now (4236) with its ID and how long it ran, written before the connections are closed, and counts in oleandershunt_relay_cut_total. TestRequestsThatAStopCutsAreLogged: before, "caller left before the answer's end".

--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"runtime/debug"
+	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
@@ -37,6 +38,16 @@
 	telemetry.RelayUnwritten.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(err))...)
 }
 
+// CutAll logs and counts the requests in flight. It must be called before their callers' connections are
+// closed at the end of the VM's stop, which looks to each of them as if its caller had left.
+func (h *Handler) CutAll() {
+	h.ended.Store(true)
+	for _, x := range h.requests.list() {
+		metrics.GetOrCreateCounter("oleandershunt_relay_cut_total").Inc()
+		telemetry.RelayCutByStop.Log(h.Log, "request", x.call.ID, "ms", time.Since(x.start).Milliseconds())
+	}
+}
+
 // countEnded counts an attempt that this VM ended.
 func countEnded(cause string) {
 	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_attempts_ended_total{cause=%q}", cause)).Inc()
--- a/internal/relay/ends_test.go
+++ b/internal/relay/ends_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"strings"
 	"sync"
 	"testing"
@@ -93,3 +94,29 @@
 	g.Expect(func() { handler.ServeHTTP(brokenWriter{httptest.NewRecorder()}, streamRequest()) }).To(PanicWith(http.ErrAbortHandler))
 	g.Expect(log.text()).To(And(ContainSubstring(`"event"=4233`), ContainSubstring(`"request"="r1"`), ContainSubstring("no buffer space")))
 }
+
+// Guards against requests that the end of a VM's stop cuts without a line that names them, or with one that
+// says that their callers left.
+func TestRequestsThatAStopCutsAreLogged(t *testing.T) {
+	g := NewWithT(t)
+	handler, log := newStreamHandler(t, platform.Requests{}, func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Response-Seal", "seal")
+		_, _ = io.WriteString(w, eventOne)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	})
+	vm := httptest.NewServer(handler)
+	defer vm.Close()
+	request := streamRequest()
+	target, err := url.Parse(vm.URL + "/x")
+	g.Expect(err).NotTo(HaveOccurred())
+	request.URL, request.RequestURI = target, ""
+	response, err := http.DefaultClient.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer response.Body.Close()
+	handler.CutAll()
+	vm.CloseClientConnections()
+	g.Eventually(handler.InFlight, "5s").Should(BeZero())
+	g.Expect(log.text()).To(And(ContainSubstring(`"event"=4236 "request"="r1"`), Not(ContainSubstring(`"event"=4207`))))
+}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -71,9 +71,11 @@
 // Handler serves callers' requests.
 type Handler struct {
 	Options
-	transports    serverconn.Transports
-	buffers       *buffers
-	inFlight      atomic.Int64
+	transports serverconn.Transports
+	buffers    *buffers
+	// requests are those being served, and ended is set once the VM cuts them at the end of its stop.
+	requests      *attemptSet[*exchange]
+	ended         atomic.Bool
 	watchdogs     *attemptSet[*watchdog]
 	pathWatches   *attemptSet[*pathWatch]
 	reports       *reportCache
@@ -99,6 +101,7 @@
 		transports:       options.Servers.Transports(idleConnsPerServer),
 		reports:          newReportCache(options.Engines),
 		suspects:         newPoisonSuspects(),
+		requests:         newAttemptSet[*exchange](),
 		watchdogs:        newAttemptSet[*watchdog](),
 		pathWatches:      newAttemptSet[*pathWatch](),
 		silentServers:    newSilentServers(),
@@ -112,13 +115,13 @@
 }
 
 // InFlight returns the number of requests being served.
-func (h *Handler) InFlight() int64 { return h.inFlight.Load() }
+func (h *Handler) InFlight() int { return h.requests.size() }
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	h.inFlight.Add(1)
-	defer h.inFlight.Add(-1)
 	x := &exchange{w: w, r: r, start: time.Now(), call: h.Wire.Read(r)}
+	h.requests.add(x)
+	defer h.requests.remove(x)
 	defer h.closeOnPanic(x)
 	defer h.releaseBody(x)
 	refused := h.refuseSaturated(x)
@@ -203,6 +206,9 @@
 	if x.r.Context().Err() == nil {
 		return false
 	}
+	if h.ended.Load() {
+		return true // CutAll has logged it
+	}
 	metrics.GetOrCreateCounter("oleandershunt_relay_left_total").Inc()
 	telemetry.RelayLeft.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(cause))...)
 	return true
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -350,7 +350,7 @@
 	return p.h.Dispatcher.takeRetry(x.service.Name, unansweredBudgetShare)
 }
 
-// attemptSet is a set of attempts in progress. It is safe for concurrent use.
+// attemptSet is a set of requests or attempts in progress. It is safe for concurrent use.
 type attemptSet[T comparable] struct {
 	mu      sync.Mutex
 	members map[T]struct{}
@@ -372,6 +372,12 @@
 	delete(s.members, member)
 }
 
+func (s *attemptSet[T]) size() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.members)
+}
+
 func (s *attemptSet[T]) list() []T {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -36,6 +36,7 @@
 	RelayUnwritten      = Event{4233, "answer can't be written to the caller"}
 	RelayReplaced       = Event{4234, "another attempt goes on with the answer of a silent one"}
 	RelayNotReplaced    = Event{4235, "silent attempt goes on; no other server takes the request"}
+	RelayCutByStop      = Event{4236, "answer cut: the time of the VM's stop is over"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
