Take a VM in between for alive only if it answers

A connect is accepted by the kernel of a killed process until its last thread has closed the listener, and on a busy machine, or with a fraction of a core, that takes longer than 20 ms.

Now the VM has to answer a request over a new connection, which a process that was killed can't do. TestAVMThatOnlyAcceptsConnectionsDoesNotRespond: "true" before.

--- a/internal/serverconn/connector.go
+++ b/internal/serverconn/connector.go
@@ -327,8 +327,7 @@
 	}
 }
 
-// VMResponds reports whether another VM accepts connections. After the end of a tunnel it shows that the VM's
-// process lives only if it is called after CheckEnd.
+// VMResponds reports whether another VM answers a request.
 func (c *Connector) VMResponds(ctx context.Context, vm string) bool {
 	tunnels, ok := c.otherVMs().(interface {
 		Responds(ctx context.Context, vm string) bool
--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -129,7 +129,8 @@
 	return chosen
 }
 
-// Responds reports whether another VM accepts connections.
+// Responds reports whether another VM answers a request. That it accepts a connection shows nothing: the
+// kernel of a process that was killed does so until it has closed the process's listener.
 func (d *Dialer) Responds(ctx context.Context, vm string) bool {
 	ctx, cancel := context.WithTimeout(ctx, openTimeout)
 	defer cancel()
@@ -137,7 +138,17 @@
 	if err != nil {
 		return false
 	}
-	_ = conn.Close()
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	request := &http.Request{Method: http.MethodHead, URL: &url.URL{Path: "/"}, Host: vm, Header: d.options.Header(vm)}
+	if request.Write(conn) != nil {
+		return false
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
 	return true
 }
 
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -278,3 +278,15 @@
 	r.Expect(r.dialer.Responds(t.Context(), "ended")).To(BeFalse())
 	r.Expect(r.dialer.Responds(t.Context(), "unknown")).To(BeFalse())
 }
+
+// Guards against taking a VM for alive whose process was killed, and whose kernel still accepts connections.
+func TestAVMThatOnlyAcceptsConnectionsDoesNotRespond(t *testing.T) {
+	r := newRig(t)
+	r.addVM("alive", connectDirectly)
+	r.Expect(r.dialer.Responds(t.Context(), "alive")).To(BeTrue())
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	r.addAddress("killed", listener.Addr().String())
+	r.Expect(r.dialer.Responds(t.Context(), "killed")).To(BeFalse())
+}
