Keep the soak's dark servers dark for longer than their callers wait

Requests came ten times a second and took all model servers away within two seconds, so that hardly any was left for those that come later.

Servers are dark for 6 s now and start again at once; requests come each 400 ms, for 18 s in a run of 20 s.

--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -19,6 +19,12 @@
 	crashingFor = 8 * time.Second
 	// crashingInterval is the time between two such requests.
 	crashingInterval = 100 * time.Millisecond
+	// darkDown is how long a server is dark. It is over twice streamPatience: if connections were reset while
+	// callers wait, that alone would show the loss of the server.
+	darkDown = 6 * time.Second
+	// darkInterval is the time between two requests under which servers go dark. Some servers must be left
+	// for those that come after the ends that show what they do.
+	darkInterval = 400 * time.Millisecond
 	// bodyCrashes and partCrashes are the ends after which a request or a part must not be sent any
 	// more, later than the contact time, but for maxLateSends.
 	bodyCrashes  = 3
@@ -35,9 +41,9 @@
 // sendCrashing sends requests that end servers to all VMs in turn: with one body, or with one part of
 // their prompts.
 func (w *world) sendCrashing(f Fault) {
-	n := f.Target + 1
+	n, interval := f.Target+1, crashingInterval
 	if f.Kind == DarkPart {
-		n += firstDarkPart
+		n, interval = n+firstDarkPart, darkInterval
 	}
 	var requests []<-chan struct{}
 	for i, until := 0, time.Now().Add(crashingFor+f.For); time.Now().Before(until); i++ {
@@ -48,7 +54,7 @@
 			r.route, r.path, r.body, r.crashPart = standin.StreamRoute, pathOf(standin.StreamRoute, id), bodyOf(id), n
 		}
 		requests = append(requests, w.callers.start(v, r, false))
-		time.Sleep(crashingInterval)
+		time.Sleep(interval)
 	}
 	for _, ended := range requests {
 		<-ended
@@ -67,10 +73,10 @@
 	w.wait.Add(1)
 	w.mu.Unlock()
 	end := w.beginDisturbance(disturbancesOf(s.ID, func(f *observations) map[string]*spans { return f.servers }))
-	restart := func() {
+	restart := func(down time.Duration) {
 		defer w.wait.Done()
 		s.Kill()
-		time.Sleep(crashDown)
+		time.Sleep(down)
 		if err := w.startServer(s); err != nil {
 			w.fail(err)
 		}
@@ -81,13 +87,13 @@
 	}
 	if isDark(content) {
 		w.darken(s)
-		go restart()
+		go restart(0)
 		return
 	}
 	if err := s.proxy.setTarget(""); err != nil {
 		w.fail(err)
 	}
-	go restart()
+	go restart(crashDown)
 }
 
 // isDark reports whether servers go dark under a content.
@@ -96,12 +102,12 @@
 	return err == nil && n > firstDarkPart
 }
 
-// darken makes a server dark for as long as it is down.
+// darken makes a server dark for a time.
 func (w *world) darken(s *server) {
 	s.SetUnresponsive(true)
 	s.proxy.setMode(blackholed)
 	w.setDark(s.proxy.address, true)
-	time.Sleep(crashDown)
+	time.Sleep(darkDown)
 	if err := s.proxy.setTarget(""); err != nil {
 		w.fail(err)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -113,12 +113,12 @@
 const heavyPlans = 4
 
 // heavyPlan returns the faults of a seed that take much of the VMs or of the servers.
-func heavyPlan(seed uint64) []Fault {
+func heavyPlan(seed uint64, within time.Duration) []Fault {
 	switch seed % heavyPlans {
 	case 0:
 		return []Fault{{At: 2 * time.Second, For: minFaultTime, Kind: Uploads, Target: int(seed)}}
 	case 1:
-		return []Fault{{At: 2 * time.Second, For: minFaultTime, Kind: DarkPart, Target: int(seed)}}
+		return []Fault{{At: 2 * time.Second, For: within / 2, Kind: DarkPart, Target: int(seed)}}
 	default:
 		return nil
 	}
@@ -184,7 +184,7 @@
 		plan = append(plan, rarePlan(seriesKinds, seed, 3, within)...)
 		plan = append(plan, rarePlan(linkKinds, seed, 4, within)...)
 		plan = append(plan, rarePlan(crashKinds, seed, 5, within)...)
-		plan = append(plan, heavyPlan(seed)...)
+		plan = append(plan, heavyPlan(seed, within)...)
 	}
 	if calm {
 		plan = append(plan, mutePlan(seed, within)...)
