--- a/internal/relay/ends.go
+++ b/internal/relay/ends.go
@@ -38,9 +38,9 @@
 	telemetry.RelayUnwritten.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(err))...)
 }
 
-// CutAll logs and counts the requests in flight. It must be called before their callers' connections are
-// closed at the end of the VM's stop, which looks to each of them as if its caller had left.
-func (h *Handler) CutAll() {
+// RecordCutByStop logs and counts the requests in flight, which the end of the VM's stop cuts. It must be
+// called before their callers' connections are closed, which looks to each of them as if its caller had left.
+func (h *Handler) RecordCutByStop() {
 	h.ended.Store(true)
 	for _, x := range h.requests.list() {
 		metrics.GetOrCreateCounter("oleandershunt_relay_cut_total").Inc()
--- a/internal/relay/ends_test.go
+++ b/internal/relay/ends_test.go
@@ -115,7 +115,7 @@
 	response, err := http.DefaultClient.Do(request)
 	g.Expect(err).NotTo(HaveOccurred())
 	defer response.Body.Close()
-	handler.CutAll()
+	handler.RecordCutByStop()
 	vm.CloseClientConnections()
 	g.Eventually(handler.InFlight, "5s").Should(BeZero())
 	g.Expect(log.text()).To(And(ContainSubstring(`"event"=4236 "request"="r1"`), Not(ContainSubstring(`"event"=4207`))))
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -207,7 +207,7 @@
 		return false
 	}
 	if h.ended.Load() {
-		return true // CutAll has logged it
+		return true // RecordCutByStop has logged it
 	}
 	metrics.GetOrCreateCounter("oleandershunt_relay_left_total").Inc()
 	telemetry.RelayLeft.Log(h.Log, append(x.logFields(), "after", x.after, "cause", telemetry.Cause(cause))...)
