Show that requests are shed for a priority that no route has any more

Callers of a service that has room are refused at once ('backend servers are full, and more urgent requests are refused') for up to 2 s after a configuration that changes the priority of its routes. The sums of all VMs still hold what was counted under the former priority, of which nothing starts any more; that looks as if more urgent requests lacked capacity.

--- a/internal/relay/demand_test.go
+++ b/internal/relay/demand_test.go
@@ -115,6 +115,24 @@
 	g.Expect(d.ExceededShares()).To(BeEmpty(), "a hub of an earlier build")
 }
 
+// Guards against requests that are refused for more urgent ones which no route has any more: the sums of all
+// VMs have them for some time after a configuration that changes the priority of routes.
+func TestNothingIsShedForAPriorityThatNoRouteHas(t *testing.T) {
+	g := NewWithT(t)
+	server := &orderServer{takes: time.Millisecond}
+	vm, d, _ := newDemandVM(t, server, true)
+	former := demand.Key{Service: "llm", Priority: llm.Priority - 1}
+	d.ApplyTally(tally.Tally{VMs: 2, Overall: &demand.Overall{Counts: map[demand.Key]demand.Counts{
+		former: {Offered: demand.Amount{Requests: 50, Work: 50_000}, Started: demand.Amount{Requests: 1, Work: 1000}, Refused: demand.Amount{Requests: 49, Work: 49_000}},
+		llm:    {Offered: demand.Amount{Requests: 10, Work: 10_000}, Started: demand.Amount{Requests: 10, Work: 10_000}},
+	}}})
+	const requests = 10
+	for i := range requests {
+		call(t.Context(), g, vm, fmt.Sprint("usual", i), "usual")
+	}
+	g.Expect(server.ids()).To(HaveLen(requests))
+}
+
 // Guards against other decisions than before where the configuration has no accounts.
 func TestNothingIsMarkedWithoutAccounts(t *testing.T) {
 	g := NewWithT(t)
