Count a lost trial only under the contents that were on trial

Callers saw: all streams of the model service refused as crashes_servers, on all VMs, for as long as a block lasts, and after a restart as well, since blocks are kept in the store.

Cause: a trial's loss was recorded as a lost trial of everything that the request contains, even of what wasn't held back and had been answered a moment before. Two such losses block content. While one part alone is on trial, its block removes the other's losses again; with two it doesn't.

Now the request remembers what it is the trial of, and its loss counts under everything else as any other loss does, which a recent answer excuses. The test failed before (503 for 200, part 5a blocked); it and the simulation of the core pass.

--- a/internal/core/quarantine/parts_test.go
+++ b/internal/core/quarantine/parts_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"slices"
 	"testing"
 
 	. "github.com/onsi/gomega"
@@ -36,9 +37,13 @@
 			table.EndTrial(contents, request)
 			continue
 		}
-		joint := table.Joint(now, contents)
+		onTrial := table.OnTrial(contents, request)
 		for _, content := range contents {
-			table.RecordLoss(now, content, quarantine.Loss{Process: process(server), At: now, Trial: request, Joint: joint})
+			loss := quarantine.Loss{Process: process(server), At: now}
+			if slices.Contains(onTrial, content) {
+				loss.Trial, loss.Joint = request, len(onTrial) > 1
+			}
+			table.RecordLoss(now, content, loss)
 		}
 		table.EndTrial(contents, request)
 		return true
--- a/internal/core/quarantine/simulation_test.go
+++ b/internal/core/quarantine/simulation_test.go
@@ -246,10 +246,13 @@
 	s.ends = append(s.ends, s.now)
 	for _, r := range lost {
 		table := s.tables[r.vm]
-		joint := r.trial != 0 && table.Joint(s.now, r.contents)
+		onTrial := table.OnTrial(r.contents, r.claim)
 		for _, content := range r.contents {
-			if r.begunAt == 0 && (r.trial != 0 || !table.AnsweredRecently(s.now, content)) {
-				loss := quarantine.Loss{Process: process, At: s.now, Trial: r.trial, Joint: joint}
+			loss := quarantine.Loss{Process: process, At: s.now}
+			if r.trial != 0 && slices.Contains(onTrial, content) {
+				loss.Trial, loss.Joint = r.trial, len(onTrial) > 1
+			}
+			if r.begunAt == 0 && (loss.Trial != 0 || !table.AnsweredRecently(s.now, content)) {
 				table.RecordLoss(s.now, content, loss)
 				s.messages = append(s.messages, simMessage{at: s.now, content: content, loss: loss})
 			}
--- a/internal/core/quarantine/trial.go
+++ b/internal/core/quarantine/trial.go
@@ -88,6 +88,19 @@
 	return RunTrial
 }
 
+// OnTrial returns those contents of which a request runs a trial on this VM.
+func (t *Table) OnTrial(contents []Content, request uint64) []Content {
+	var onTrial []Content
+	for _, c := range contents {
+		if element, ok := t.suspects[c]; ok {
+			if s := element.Value.(*suspect); s.running && s.claim.Request == request {
+				onTrial = append(onTrial, c)
+			}
+		}
+	}
+	return onTrial
+}
+
 // EndTrial ends the claim of a request with contents, and its trial.
 func (t *Table) EndTrial(contents []Content, request uint64) {
 	for _, c := range contents {
@@ -108,12 +121,6 @@
 	}
 }
 
-// Joint reports whether several of the contents are held back.
-func (t *Table) Joint(now time.Duration, contents []Content) bool {
-	held, _ := t.held(now, contents)
-	return len(held) > 1
-}
-
 // held returns the contents that are held back, and whether one or all of them together are blocked.
 func (t *Table) held(now time.Duration, contents []Content) (held []*suspect, blocked bool) {
 	for _, c := range contents {
--- a/internal/relay/dark_test.go
+++ b/internal/relay/dark_test.go
@@ -49,7 +49,7 @@
 const rackServers = 3
 
 func newDarkRig(t *testing.T) *darkRig {
-	const servers = 10
+	const servers = 16
 	r := &darkRig{WithT: NewWithT(t), log: &lines{}, ids: make(map[string]string), dark: make(map[string]bool)}
 	engine := &routes.Engine{Layers: 80, LayerMB: 100, TokenBytes: 918_000, Step: time.Millisecond, TypicalPrompt: 100, TypicalAnswer: 10, Cards: map[string]routes.Card{"c": {MB: 100_000, Pace: 1}}}
 	d := relay.NewDispatcher(bootclock.Now, budget.New(budget.Options{Ratio: 0.2, Slack: 100, Window: 10 * time.Second, MinVMs: 1}))
@@ -185,12 +185,16 @@
 	return len(r.crashed)
 }
 
-// send returns the status of a request whose caller leaves after a time; 0 if there is none.
-func (r *darkRig) send(path string) int {
+// send returns the status of a request whose caller leaves after a time; 0 if there is none. parts are the
+// shared parts of its prompt.
+func (r *darkRig) send(path string, parts ...string) int {
 	request, err := http.NewRequest(http.MethodPost, r.url+path, strings.NewReader("{}"))
 	r.Expect(err).NotTo(HaveOccurred())
 	request.Host = "a.example"
 	request.Header.Set("X-Request-Id", "r1")
+	if len(parts) > 0 {
+		request.Header.Set("X-Prefix-Hash", strings.Join(append(parts, "1"), ","))
+	}
 	client := &http.Client{Timeout: 2 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	response, err := client.Do(request)
 	if err != nil {
@@ -230,3 +234,18 @@
 	r.expire()
 	r.Eventually(func() int { return r.send("/held") }, "4s").Should(Equal(http.StatusOK), r.log.text)
 }
+
+// Guards against refusing everybody because of a part that all prompts begin with, since trials of other
+// contents were lost whose prompts begin with it, too.
+func TestLostTrialsOfOthersDoNotBlockAPartThatAllShare(t *testing.T) {
+	r := newDarkRig(t)
+	r.Expect(r.send("/sound", "5a")).To(Equal(http.StatusOK))
+	for _, part := range []string{"d1", "d2"} {
+		for i := range 3 {
+			r.send(fmt.Sprint("/crash", part, i), "5a", part)
+			r.expire()
+		}
+	}
+	r.Expect(strings.Count(r.log.text(), `"event"=4226`)).To(BeNumerically(">=", 2), "trials of both: %s", r.log.text())
+	r.Expect(r.send("/sound", "5a")).To(Equal(http.StatusOK), r.log.text())
+}
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -33,12 +34,12 @@
 // quarantineLoss records a server that was lost while it ran a request. unreached says that no VM
 // reached a server of its service.
 func (h *Handler) quarantineLoss(x *exchange, server backends.Server, at time.Duration, unreached bool) {
-	loss := quarantine.Loss{Process: processOf(server), At: at, Trial: x.trial, Joint: x.jointTrial}
 	begun := x.events >= begunEvents
 	h.suspects.mu.Lock()
 	defer h.suspects.mu.Unlock()
 	for _, content := range x.contents {
-		if content.Part && (begun || x.trial == 0 && h.suspects.quarantine.AnsweredRecently(at, content)) {
+		loss := x.lossUnder(content, processOf(server), at)
+		if content.Part && (begun || loss.Trial == 0 && h.suspects.quarantine.AnsweredRecently(at, content)) {
 			continue
 		}
 		finding := lossFinding(content, loss)
@@ -52,6 +53,16 @@
 	h.publishSoon()
 }
 
+// lossUnder returns the loss of a process under one of the request's contents. A lost trial tells nothing
+// more than any other loss about contents that it wasn't a trial of: all prompts may begin with one of them.
+func (x *exchange) lossUnder(content quarantine.Content, process quarantine.Process, at time.Duration) quarantine.Loss {
+	loss := quarantine.Loss{Process: process, At: at}
+	if slices.Contains(x.onTrial, content) {
+		loss.Trial, loss.Joint = x.trial, len(x.onTrial) > 1
+	}
+	return loss
+}
+
 // publishSoon has the pending findings sent to the other VMs at once. h.suspects.mu must be held.
 func (h *Handler) publishSoon() {
 	if h.OnFindings == nil || h.suspects.reporting {
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -38,11 +38,10 @@
 	poison poison.Body
 	// contents are what the request has in common with others that may crash servers. claim
 	// identifies the request where it claims a trial of some of them, and trial is the same once it
-	// runs as one. jointTrial is set if it is the trial of several.
-	contents     []quarantine.Content
-	claim, trial uint64
-	jointTrial   bool
-	start        time.Time
+	// runs as one. onTrial are those that it is the trial of.
+	contents, onTrial []quarantine.Content
+	claim, trial      uint64
+	start             time.Time
 	// preferred is the data centre in which the request is to start. Empty until it is drawn.
 	preferred string
 	attemptHistory
--- a/internal/relay/quarantine.go
+++ b/internal/relay/quarantine.go
@@ -80,7 +80,7 @@
 	now := bootclock.Now()
 	decision := h.suspects.quarantine.Resume(now, x.contents, x.claim)
 	if decision == quarantine.RunTrial {
-		x.trial, x.jointTrial = x.claim, h.suspects.quarantine.Joint(now, x.contents)
+		x.trial, x.onTrial = x.claim, h.suspects.quarantine.OnTrial(x.contents, x.claim)
 		telemetry.TrialBegun.Log(h.Log, "request", x.call.ID, "service", x.service.Name)
 	}
 	return decision
