Compare cut off VMs with the others at the same moments in the soak

The check 'cut off VM serves worse' compared fractions over the whole run. Requests that end the servers that run them counted as well, which fail wherever they run.

Each request at a cut off VM is now compared with those of the others within a second; the bounds stay, but for what chance may take (twice the square root of the expected number). It finds what the old check missed: a VM that serves fewer at the same moments while the others fail later.

--- a/internal/soak/links.go
+++ b/internal/soak/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"os"
 	"slices"
 	"strings"
@@ -18,10 +19,12 @@
 	// minCutServing is how long a VM that is cut off must serve at least before the cut ends.
 	minCutServing = 2 * time.Second
 	// maxCutFailures and maxCutFailureShare bound the requests that fail at VMs that are cut off from
-	// the servers, if they are served less than minCutServed times as often as the others.
+	// the servers, if they are served less than minCutServed times as often as the others. Fewer may be
+	// served by chance, up to maxByChance times the square root of the expected number.
 	maxCutFailures     = 10
 	maxCutFailureShare = 0.02
 	minCutServed       = 2.0 / 3
+	maxByChance        = 2
 )
 
 // cutTime is how long a fault cuts VMs off from the servers.
@@ -106,37 +109,47 @@
 // sameTime is the time between two requests at most of which one shows whether the other could be served.
 const sameTime = time.Second
 
-// checkCutOff compares what is served by the VMs that are cut off from the servers with the others,
-// from the contact time after the cut on. What is refused for a flood doesn't show the cut: the VM that gets most of
-// the requests refuses most of them. Nor do requests of a service of which no VM serves any at the time.
+// checkCutOff compares what VMs that are cut off from the servers serve, from the contact time after the cut
+// on, with what the others serve of the same service at the same moments: servers may be short for all. What
+// is refused for a flood doesn't show the cut, since the VM that gets most of the requests refuses most of
+// them, nor do requests that end the servers that run them.
 func (f *observations) checkCutOff() []finding {
-	var cut, others served
-	var atCut []request
-	servedElsewhere := make(map[string][]time.Time)
+	var atCut, elsewhere []request
 	for _, r := range f.requests {
-		if r.version != 0 || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || f.isRefusedForAFlood(r) || refusedOnAllVMs[r.reason] {
+		if r.version != 0 || r.crashing || !r.abandonedAt.IsZero() || !f.undisturbedVM(r) || f.isRefusedForAFlood(r) || refusedOnAllVMs[r.reason] {
 			continue
 		}
 		switch {
 		case f.links[r.vm].within(r.sent, r.ended, f.bounds.Contact):
 			atCut = append(atCut, r)
 		case f.links[r.vm].undisturbed(r.sent, r.ended, f.bounds.Contact) && f.anyCut(r):
-			others.count(r)
-			if service := serviceOf(r.route); r.complete {
-				servedElsewhere[service] = append(servedElsewhere[service], r.sent)
-			}
+			elsewhere = append(elsewhere, r)
 		}
 	}
+	var cut served
+	expected := 0.0
 	for _, r := range atCut {
-		if slices.ContainsFunc(servedElsewhere[serviceOf(r.route)], func(sent time.Time) bool { return sent.Sub(r.sent).Abs() <= sameTime }) {
+		if others := servedAt(r, elsewhere); others.complete > 0 {
 			cut.count(r)
+			expected += others.share()
 		}
 	}
-	failed := cut.all - cut.complete
-	if float64(failed) <= maxCutFailures+maxCutFailureShare*float64(cut.all+others.all) || cut.share() >= minCutServed*others.share() {
+	failed, missing := float64(cut.all-cut.complete), expected-float64(cut.complete)
+	if failed <= maxCutFailures+maxCutFailureShare*float64(cut.all+len(elsewhere)) || missing <= (1-minCutServed)*expected || missing <= maxByChance*math.Sqrt(expected) {
 		return nil
 	}
-	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, refused %v, the others %d of %d", cut.complete, cut.all, cut.reasons, others.complete, others.all)}}
+	return []finding{{"cut off VM serves worse", fmt.Sprintf("%d of %d, refused %v; as often as the others at the same moments: %.1f", cut.complete, cut.all, cut.reasons, expected)}}
+}
+
+// servedAt counts those requests of a list that show whether a request could be served.
+func servedAt(r request, list []request) served {
+	var at served
+	for _, other := range list {
+		if serviceOf(other.route) == serviceOf(r.route) && other.sent.Sub(r.sent).Abs() <= sameTime {
+			at.count(other)
+		}
+	}
+	return at
 }
 
 // undisturbedVM reports whether the VM of a request was not disturbed itself. What is done to the
