Count what reaches servers by cause, and log the use of the retry budget

The hypotheses on the retry budget of all VMs couldn't be told apart: the metric on retries counts what the budget allowed, not what was written to servers, and no line says what a VM believes of the whole budget. oleandershunt_relay_sent_total counts each write of a request by cause and way, with 'connection' for one that no attempt accounts for; event 4237 has a VM's own counts, those of the others, how many VMs they cover and the limit, once a second while above half of it. No decision changes.

--- /dev/null
+++ b/internal/relay/arrivals_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	. "github.com/onsi/gomega"
+)
+
+// Guards against arrivals at servers that the counter gives the wrong cause, or leaves out.
+func TestWritesAreCountedByCause(t *testing.T) {
+	g := NewWithT(t)
+	for cause, x := range map[string]*exchange{
+		causeFirst:       {attemptHistory: attemptHistory{sends: 1, refusals: 1}},
+		causeRefused:     {attemptHistory: attemptHistory{sends: 2, refusals: 1}},
+		causeUnanswered:  {attemptHistory: attemptHistory{sends: 2, refusals: 1, mayHaveRun: true}},
+		causeResumed:     {attemptHistory: attemptHistory{sends: 2, mayHaveRun: true}, delivered: delivered{events: 3}},
+		causeReplacement: {attemptHistory: attemptHistory{sends: 2, mayHaveRun: true}, delivered: delivered{events: 3}, replaces: true},
+	} {
+		g.Expect(x.sendCause()).To(Equal(cause))
+	}
+	sent := func(cause string) uint64 {
+		return metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_sent_total{cause=%q,way=%q}", cause, "test")).Get()
+	}
+	count := countWrites(causeResumed, "test")
+	g.Expect(sent(causeResumed)).To(BeZero())
+	for range 3 {
+		count()
+	}
+	g.Expect(sent(causeResumed)).To(BeEquivalentTo(1))
+	g.Expect(sent(causeConnection)).To(BeEquivalentTo(2))
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -158,19 +158,26 @@
 	if x.route.Repeat == routes.AtMostOnce {
 		transport = h.transports.Fresh
 	}
-	response, sent, err := h.sendOver(transport, x, o)
+	response, sent, err := h.sendOver(transport, x, o, wayDirect)
 	if err == nil || sent.Connected() || o.ctx.Err() != nil {
 		return response, sent, err
 	}
-	response, sent, errThrough := h.sendOver(h.transports.Through, x, o)
+	response, sent, errThrough := h.sendOver(h.transports.Through, x, o, wayVM)
 	if errThrough != nil && !sent.Connected() {
 		return nil, sent, fmt.Errorf("%w; through another VM: %w", err, errThrough)
 	}
 	return response, sent, errThrough
 }
 
-func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt) (*http.Response, *wire.Sent, error) {
-	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool { return h.Dispatcher.stillAccepts(o.sentTo) && h.suspects.mayGoOn(x) })
+func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt, way string) (*http.Response, *wire.Sent, error) {
+	count := countWrites(x.sendCause(), way)
+	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool {
+		if !h.Dispatcher.stillAccepts(o.sentTo) || !h.suspects.mayGoOn(x) {
+			return false
+		}
+		count()
+		return true
+	})
 	o.sent.Store(sent)
 	o.sentAt = bootclock.Now()
 	response, err := transport.RoundTrip(h.serverRequest(ctx, x, o.sentTo))
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -182,6 +182,13 @@
 	return allowed
 }
 
+// RetryBudgetUses returns what this VM believes of the retry budget of each service.
+func (d *Dispatcher) RetryBudgetUses() []budget.Use {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.Uses(d.now())
+}
+
 // SetLiveVMs sets the number of live VMs, including this one.
 func (d *Dispatcher) SetLiveVMs(vms int) {
 	d.mu.Lock()
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -47,6 +47,8 @@
 	attemptHistory
 	// firstRecorded says that the outcome of the first attempt was counted.
 	firstRecorded bool
+	// replaces says that the attempts are made beside a silent one.
+	replaces bool
 	// retryReserved says that the next attempt's retry was already taken from the budget.
 	retryReserved bool
 	// detail is the reason why no server was found, for the log line of the refusal.
--- a/internal/telemetry/events_relay.go
+++ b/internal/telemetry/events_relay.go
@@ -37,6 +37,7 @@
 	RelayReplaced       = Event{4234, "another attempt goes on with the answer of a silent one"}
 	RelayNotReplaced    = Event{4235, "silent attempt goes on; no other server takes the request"}
 	RelayCutByStop      = Event{4236, "answer cut: the time of the VM's stop is over"}
+	RetryBudgetUsed     = Event{4237, "retry budget of all VMs is more than half used"}
 	LeavingSaid         = Event{4219, "backend server says that it leaves"}
 )
 
