--- a/internal/core/tally/restart_test.go
+++ b/internal/core/tally/restart_test.go
@@ -70,10 +70,15 @@
 	epochs uint64
 	// requests and retries are counted by tick.
 	requests, retries []int
+	// cuts are the data centres that are cut off, and strays the VMs that can't reach their hub.
+	cuts   []cut
+	strays []stray
+	// failuresFrom is when requests begin to fail.
+	failuresFrom time.Duration
 }
 
 func newSimulation(seed uint64) *simulation {
-	s := &simulation{random: rand.New(rand.NewPCG(seed, 1))}
+	s := &simulation{random: rand.New(rand.NewPCG(seed, 1)), failuresFrom: warmUp + 3*time.Second}
 	for i := range simulatedVMs {
 		vm := &simulatedVM{name: fmt.Sprintf("vm-%02d", i), dataCentre: string(rune('a' + i%simulatedCentres))}
 		s.start(vm)
@@ -95,12 +100,20 @@
 
 // hubOf returns the highest-ranked running VM of a data centre, or nil.
 func (s *simulation) hubOf(dataCentre string) *simulatedVM {
+	if hubs := s.ranked(dataCentre); len(hubs) > 0 {
+		return hubs[0]
+	}
+	return nil
+}
+
+// ranked returns the running VMs of a data centre in the order of their rank as hub.
+func (s *simulation) ranked(dataCentre string) (ranked []*simulatedVM) {
 	for _, vm := range s.vms {
 		if vm.dataCentre == dataCentre && s.running(vm) {
-			return vm
+			ranked = append(ranked, vm)
 		}
 	}
-	return nil
+	return ranked
 }
 
 func (s *simulation) kill(l loss) {
@@ -124,9 +137,9 @@
 
 // exchange lets a VM report to its hub, and a hub to the other hubs.
 func (s *simulation) exchange(vm *simulatedVM) {
-	hub := s.hubOf(vm.dataCentre)
+	hub := s.hubUsedBy(vm)
 	p := vm.process
-	p.budget.SetLiveVMs(len(s.vms))
+	p.budget.SetLiveVMs(s.liveVMs(vm))
 	own := tally.Tally{VMs: 1, Process: p.id, Counts: p.budget.Histories(s.now)}
 	h := hub.process.hub
 	h.Serve(s.now)
@@ -135,7 +148,7 @@
 		h.Inherit(s.now, p.handover)
 	}
 	p.handover = tally.Counts{}
-	if hub == vm {
+	if hub == vm && hub == s.hubOf(vm.dataCentre) {
 		s.exchangeRemote(vm)
 	}
 	others := h.SumExcept(s.now, vm.name)
@@ -152,7 +165,7 @@
 func (s *simulation) exchangeRemote(hub *simulatedVM) {
 	for dataCentre := 'a'; dataCentre < 'a'+simulatedCentres; dataCentre++ {
 		other := s.hubOf(string(dataCentre))
-		if other == nil || other == hub {
+		if other == nil || other == hub || s.areApart(hub.dataCentre, string(dataCentre)) {
 			continue
 		}
 		sum, answer := hub.process.hub.LocalSum(s.now), other.process.hub.LocalSum(s.now)
@@ -165,8 +178,8 @@
 	}
 }
 
-// run plays the deployment for a time. From the third second after warmUp on each request fails, and the VMs retry
-// whenever they may.
+// run plays the deployment for a time. From failuresFrom on each request fails, and the VMs retry whenever
+// they may.
 func (s *simulation) run(length time.Duration, losses ...loss) {
 	for ; s.now < length; s.now += tick {
 		for _, l := range losses {
@@ -187,7 +200,6 @@
 
 // play plays one tick of a VM, and returns its requests and retries in it.
 func (s *simulation) play(vm *simulatedVM, phase time.Duration) (requests, retries int) {
-	const failuresFrom = warmUp + 3*time.Second
 	p := vm.process
 	if (s.now+phase)%exchangeInterval == 0 {
 		s.exchange(vm)
@@ -197,7 +209,7 @@
 		p.asked = true
 		requests = 1
 	}
-	for p.asked && s.now >= failuresFrom && p.budget.TakeRetry(s.now, "llm", 1) {
+	for p.asked && s.now >= s.failuresFrom && p.budget.TakeRetry(s.now, "llm", 1) {
 		retries++
 	}
 	return requests, retries
