Write a request to a server once in each attempt, also without a body

A caller's request without a body reached its server up to seven times in one attempt, none of them counted by the retry budget: net/http sends such a request again over the next kept connection when one breaks before its response, and only bodies were hidden from it. It would also have told an attempt that had been written as unsent if the last connection took no byte. Now what watches an attempt's writes refuses a second one once bytes have left, whatever transport, method or body, and the attempt ends as broken; a retry is the budget's to allow.

The counter of sent requests loses its cause 'connection', which can't come about any more.

--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -2,7 +2,7 @@
 
 import (
 	"fmt"
-	"sync/atomic"
+	"sync"
 
 	"github.com/VictoriaMetrics/metrics"
 )
@@ -19,8 +19,6 @@
 	causeResumed = "resumed"
 	// causeReplacement: an attempt beside a silent one.
 	causeReplacement = "replacement"
-	// causeConnection: the request was written again over another connection within one attempt.
-	causeConnection = "connection"
 )
 
 // sendCause returns why the request's current attempt, which sends includes, is made.
@@ -39,14 +37,10 @@
 	}
 }
 
-// countWrites returns a function that counts each write of an attempt's request to a server.
-func countWrites(cause, way string) func() {
-	var written atomic.Bool
-	return func() {
-		counted := cause
-		if written.Swap(true) {
-			counted = causeConnection
-		}
-		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_sent_total{cause=%q,way=%q}", counted, way)).Inc()
-	}
+// countSent returns a function that counts an attempt's request as sent, once: it is written again only
+// over a connection that took the place of one that took no byte.
+func countSent(cause, way string) func() {
+	return sync.OnceFunc(func() {
+		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_sent_total{cause=%q,way=%q}", cause, way)).Inc()
+	})
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -170,7 +170,7 @@
 }
 
 func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt, way string) (*http.Response, *wire.Sent, error) {
-	count := countWrites(x.sendCause(), way)
+	count := countSent(x.sendCause(), way)
 	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool {
 		if !h.Dispatcher.stillAccepts(o.sentTo) || !h.suspects.mayGoOn(x) {
 			return false
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -39,8 +39,10 @@
 
 // Write implements net.Conn.
 func (c *countingConn) Write(p []byte) (int, error) {
-	if next := c.next.Swap(nil); next != nil && !next.mayLeave() {
-		return 0, errWithheld
+	if next := c.next.Swap(nil); next != nil {
+		if err := next.stop(); err != nil {
+			return 0, err
+		}
 	}
 	n, err := c.Conn.Write(p)
 	c.written.Add(int64(n))
@@ -125,17 +127,23 @@
 	// may tells whether the request is still to be sent; nil for always.
 	may      func() bool
 	withheld atomic.Bool
-	cancel   context.CancelCauseFunc
+	// broken is set once bytes have left over a connection that another one replaced.
+	broken atomic.Bool
+	cancel context.CancelCauseFunc
 }
 
 // errWithheld marks a request that was withheld when its first byte was to be written.
 var errWithheld = errors.New("request was withheld before it was written")
 
-// WatchSent returns a context for one request made through a Transport.
-func WatchSent(ctx context.Context) (context.Context, *Sent) { return new(Sent).watch(ctx) }
+// errBroken ends a request that net/http would write again since its connection broke without a response.
+var errBroken = errors.New("kept connection broke after the request was written")
+
+// WatchSent returns a context for one request made through a Transport, which writes it once at most.
+func WatchSent(ctx context.Context) (context.Context, *Sent) { return WatchSentWhile(ctx, nil) }
 
 // WatchSentWhile is the same for a request that is only to be sent if may says so at the
 // moment at which it is written, which a connect delays. A withheld request ends with an error.
+// A nil may always says so.
 func WatchSentWhile(ctx context.Context, may func() bool) (context.Context, *Sent) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	return (&Sent{may: may, cancel: cancel}).watch(ctx)
@@ -145,15 +153,20 @@
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: s.gotConn}), s
 }
 
-// mayLeave is asked before the first byte. The context ends with a refusal, or net/http would
-// try the next kept connection.
-func (s *Sent) mayLeave() bool {
-	if s.may == nil || s.may() {
-		return true
+// stop is called before the first byte over each connection, and returns why the request is not
+// written, or nil. The context ends then, or net/http would try the next kept connection.
+func (s *Sent) stop() error {
+	switch {
+	case s.broken.Load():
+		s.cancel(errBroken)
+		return errBroken
+	case s.may != nil && !s.may():
+		s.withheld.Store(true)
+		s.cancel(errWithheld)
+		return errWithheld
+	default:
+		return nil
 	}
-	s.withheld.Store(true)
-	s.cancel(errWithheld)
-	return false
 }
 
 // Withheld tells whether the request was withheld; no byte of it has left then.
@@ -164,6 +177,9 @@
 	if !ok {
 		return
 	}
+	if s.Any() {
+		s.broken.Store(true)
+	}
 	s.before.Store(conn.written.Load())
 	conn.next.Store(s)
 	s.conn.Store(conn)
@@ -185,7 +201,7 @@
 // started work. Bytes that the kernel took may have arrived.
 func (s *Sent) Any() bool {
 	conn := s.conn.Load()
-	return conn != nil && conn.written.Load() > s.before.Load()
+	return s.broken.Load() || conn != nil && conn.written.Load() > s.before.Load()
 }
 
 type onceBody struct{ io.Reader }
