Give a VM no retries for requests at VMs whose retries it doesn't hear of

Callers' requests were sent again more often than the budget of all VMs allows while VMs don't hear of one another. The limit counted what all VMs received in the last ten seconds, also those beyond a cut, whose retries since then nobody on this side knows; so each side used the budget of both. The same came about without a cut where VMs can't reach their hub and report to another one, and a process that starts on one side of a cut divided the slack among the VMs of that side.

A hub tells now which counts are of VMs that don't report to it or to a hub that it hears from. Their requests give no retries, and what they used beyond their own budget is taken off, so that the sides keep the limit together whatever each does. It tells the age of the oldest report as well: a VM takes its part of what is left once in that time. The number of VMs among which the slack is divided passes from VM to VM for two windows.

On the wire: three fields more in a tally; a hub of an earlier build sends none, and beside it the limit is kept as before.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -54,23 +54,47 @@
 type Budget struct {
 	options  Options
 	services map[string]*window
-	// peers are the latest complete counts of all other VMs, and traffic the latest ones.
-	// maxVMs is the highest number of VMs that complete counts covered, this one included, and
-	// maxVMsAt when that was received.
-	peers    peerCounts
-	traffic  map[string]Count
-	maxVMs   int
-	maxVMsAt time.Duration
+	// peers are the latest complete counts of all other VMs, as of peersAt, and traffic the latest ones.
+	// mostVMs is the highest number of VMs that complete counts covered, this one included.
+	peers   PeerCounts
+	peersAt time.Duration
+	traffic map[string]Count
+	mostVMs KnownVMs
 	// liveVMs is the number of live VMs, this one included; 0 means unknown.
 	liveVMs int
 	// firstRequestAt is when the first request was counted.
 	firstRequestAt time.Duration
 }
 
-type peerCounts struct {
-	at     time.Duration
-	vms    int
-	counts map[string]Count
+// KnownVMs is a number of VMs that reported at the same time, and when that was.
+type KnownVMs struct {
+	VMs int
+	At  time.Duration
+}
+
+// Merge returns the larger of two numbers, or the later one if the other is older than retention.
+func (k KnownVMs) Merge(now time.Duration, other KnownVMs, retention time.Duration) KnownVMs {
+	switch {
+	case now-other.At > retention:
+		return k
+	case other.VMs > k.VMs, other.VMs == k.VMs && other.At > k.At, now-k.At > retention:
+		return other
+	default:
+		return k
+	}
+}
+
+// PeerCounts are the counts of the other VMs.
+type PeerCounts struct {
+	// VMs is the number of VMs that report now, and OldestAge the age of the oldest of their reports.
+	VMs       int
+	OldestAge time.Duration
+	// Counts are what the other VMs did in the last window, by service. They must include VMs that
+	// have ended since.
+	Counts map[string]Count
+	// Absent is the part of Counts of VMs that don't report now. They have ended, or can't be reached
+	// and go on to retry.
+	Absent map[string]Count
 }
 
 type window struct {
@@ -91,15 +115,20 @@
 	return &Budget{options: options, services: make(map[string]*window)}
 }
 
-// SetPeerCounts sets the counts by service of the other VMs, summed over that many VMs. They must
-// include what VMs did in the last window that have ended since.
-func (b *Budget) SetPeerCounts(now time.Duration, vms int, counts map[string]Count) {
-	b.peers, b.traffic = peerCounts{at: now, vms: vms, counts: counts}, counts
-	if vms+1 >= b.maxVMs || now-b.maxVMsAt > 2*b.options.Window {
-		b.maxVMs, b.maxVMsAt = vms+1, now
-	}
+// SetPeerCounts sets the counts of the other VMs.
+func (b *Budget) SetPeerCounts(now time.Duration, peers PeerCounts) {
+	b.peers, b.peersAt, b.traffic = peers, now, peers.Counts
+	b.mostVMs = b.mostVMs.Merge(now, KnownVMs{VMs: peers.VMs + 1, At: now}, 2*b.options.Window)
+}
+
+// LearnVMs adds what another VM knows of the number of VMs.
+func (b *Budget) LearnVMs(now time.Duration, known KnownVMs) {
+	b.mostVMs = b.mostVMs.Merge(now, known, 2*b.options.Window)
 }
 
+// MostVMs returns the most VMs, this one included, that complete counts covered.
+func (b *Budget) MostVMs() KnownVMs { return b.mostVMs }
+
 // SetPeerTraffic sets counts of the other VMs that may lack some. They show only whether there is
 // traffic.
 func (b *Budget) SetPeerTraffic(counts map[string]Count) { b.traffic = counts }
@@ -141,16 +170,16 @@
 // they are as old as the window its own share: the shares of all VMs together are within the limit
 // whatever each of them knows. A VM that has just started knows nothing of what was used before,
 // by itself or by others, and has its reserve only. If VMs receive the counts of only some others,
-// as on one side of a partition, each side gets its part of the slack.
+// as on one side of a partition, each side has the budget of its own requests and its part of the slack.
 func (b *Budget) TakeRetry(now time.Duration, service string, part float64) bool {
 	own := b.ownCount(now, service)
 	share := b.limit(own.Requests) - b.options.Slack + b.options.Slack/float64(b.vmCount(now))
 	next := float64(own.Retries + 1)
 	age := now - b.options.StartedAt
 	allowed := next <= part*reservedFraction*share*min(age.Seconds()/b.options.Window.Seconds(), 1)
-	switch countsAge := now - b.peers.at; {
-	case b.peers.vms > 0 && countsAge <= b.options.Window:
-		unknown := b.retriesSince(now, service, countsAge+propagationDelay)
+	switch countsAge := now - b.peersAt; {
+	case b.peers.VMs > 0 && countsAge <= b.options.Window:
+		unknown := b.retriesSince(now, service, countsAge+b.peers.OldestAge+propagationDelay)
 		allowed = allowed || float64(unknown)+b.randomDraw(now, service) < b.partLeft(now, service, own, part)
 	case age >= b.options.Window:
 		allowed = allowed || next <= part*isolatedFraction*share
@@ -165,10 +194,15 @@
 // partLeft returns this VM's part of the retries that all VMs have left, by the last counts of the
 // others.
 func (b *Budget) partLeft(now time.Duration, service string, own Count, part float64) float64 {
-	vms := float64(b.peers.vms + 1)
-	peers := b.peers.counts[service]
-	limit := b.options.Ratio*float64(own.Requests+peers.Requests) + b.options.Slack*vms/max(vms, float64(b.vmCount(now)))
-	left := part*sharedFraction*limit - float64(own.Retries+peers.Retries)
+	vms, all := float64(b.peers.VMs+1), float64(max(b.peers.VMs+1, b.vmCount(now)))
+	absent := b.peers.Absent[service]
+	present := own.Add(b.peers.Counts[service]).Subtract(absent)
+	limit := b.options.Ratio*float64(present.Requests) + b.options.Slack*vms/all
+	absentLimit := b.options.Ratio*float64(absent.Requests) + b.options.Slack*(all-vms)/all
+	// VMs that don't report may use the rest of their own budget meanwhile. What they used beyond it
+	// is taken from this one.
+	borrowed := max(float64(absent.Retries)-sharedFraction*absentLimit, 0)
+	left := part*sharedFraction*limit - float64(present.Retries) - borrowed
 	if left < vms {
 		// Less than one retry per VM is left: random draws decide which VMs take one, and
 		// how many do.
@@ -196,7 +230,7 @@
 // VMs start at the same moment and don't know one another: if each took a large share, together
 // they would far exceed the limit.
 func (b *Budget) vmCount(now time.Duration) int {
-	known := max(b.options.MinVMs, b.maxVMs, b.liveVMs, 1)
+	known := max(b.options.MinVMs, b.mostVMs.VMs, b.liveVMs, 1)
 	if b.liveVMs == 0 && now < b.firstRequestAt+b.options.StartupPeriod {
 		return max(known, b.options.StartupVMs)
 	}
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -51,7 +51,7 @@
 func TestVMWithOldCountsUsesItsPartOnce(t *testing.T) {
 	g := NewWithT(t)
 	b := budget.New(options(10))
-	b.SetPeerCounts(20*time.Second, 9, map[string]budget.Count{"s": {Requests: 900}})
+	b.SetPeerCounts(20*time.Second, budget.PeerCounts{VMs: 9, Counts: map[string]budget.Count{"s": {Requests: 900}}})
 	taken := 0
 	for now := 20 * time.Second; now < 29*time.Second; now += 100 * time.Millisecond {
 		taken += spend(b, now)
@@ -68,7 +68,7 @@
 	taken := 0
 	for second := range 10 {
 		now := time.Duration(second) * time.Second
-		b.SetPeerCounts(now, 9, map[string]budget.Count{"s": {Requests: 900}})
+		b.SetPeerCounts(now, budget.PeerCounts{VMs: 9, Counts: map[string]budget.Count{"s": {Requests: 900}}})
 		taken += spend(b, now)
 	}
 	g.Expect(taken).To(BeNumerically(">", 150), "its own share is 20")
@@ -110,7 +110,7 @@
 		f.vms = append(f.vms, budget.New(options(vms)))
 	}
 	for _, b := range f.vms {
-		b.SetPeerCounts(0, vms-1, nil)
+		b.SetPeerCounts(0, budget.PeerCounts{VMs: vms - 1})
 	}
 	return f
 }
@@ -125,7 +125,7 @@
 				others++
 			}
 		}
-		b.SetPeerCounts(now, others, map[string]budget.Count{"s": sum})
+		b.SetPeerCounts(now, budget.PeerCounts{VMs: others, Counts: map[string]budget.Count{"s": sum}})
 	}
 }
 
@@ -173,7 +173,7 @@
 	b := budget.New(options)
 	b.CountRequest(time.Second, "llm")
 	b.SetLiveVMs(9)
-	b.SetPeerCounts(time.Second, 8, nil)
+	b.SetPeerCounts(time.Second, budget.PeerCounts{VMs: 8})
 	known := 0
 	for b.TakeRetry(time.Second, "llm", 1) {
 		known++
@@ -314,3 +314,37 @@
 	}
 	return retries
 }
+
+// Guards against a VM that uses the budget of requests at VMs that don't report: they may use it as well.
+func TestRequestsOfAbsentVMsGiveNoRetries(t *testing.T) {
+	g := NewWithT(t)
+	const now = 20 * time.Second
+	newBudget := func(absent budget.Count) *budget.Budget {
+		b := budget.New(options(10))
+		b.SetPeerCounts(now, budget.PeerCounts{VMs: 4, Counts: map[string]budget.Count{"s": {Requests: 900, Retries: absent.Retries}}, Absent: map[string]budget.Count{"s": absent}})
+		return b
+	}
+	const present = 0.88 * (0.2*400 + 100)                 // the budget of five of ten VMs
+	part := func(left float64) float64 { return left / 6 } // each retry that one of the five takes leaves less
+	half := newBudget(budget.Count{Requests: 500})
+	g.Expect(spend(half, now)).To(BeNumerically("~", part(present), 1))
+	within := newBudget(budget.Count{Requests: 500, Retries: 170})
+	g.Expect(spend(within, now)).To(BeNumerically("~", part(present), 1), "the others used their own budget")
+	beyond := newBudget(budget.Count{Requests: 500, Retries: 176 + 100})
+	g.Expect(spend(beyond, now)).To(BeNumerically("~", part(present-100), 1), "they used 100 of this side's")
+}
+
+// Guards against a process that starts on one side of a partition and divides the slack among the VMs of that side.
+func TestStartedVMLearnsHowManyVMsThereAre(t *testing.T) {
+	g := NewWithT(t)
+	const now = 20 * time.Second
+	o := options(1)
+	b := budget.New(o)
+	b.LearnVMs(now, budget.KnownVMs{VMs: 40, At: now - 5*time.Second})
+	b.SetPeerCounts(now, budget.PeerCounts{VMs: 9})
+	g.Expect(b.MostVMs()).To(Equal(budget.KnownVMs{VMs: 40, At: now - 5*time.Second}))
+	g.Expect(spend(b, now)).To(BeNumerically("~", 0.88*200/40, 1))
+	later := now + 15*time.Second + time.Millisecond
+	b.SetPeerCounts(later, budget.PeerCounts{VMs: 9})
+	g.Expect(b.MostVMs()).To(Equal(budget.KnownVMs{VMs: 10, At: later}), "the others have been gone for two windows")
+}
--- a/internal/core/tally/counts.go
+++ b/internal/core/tally/counts.go
@@ -1,6 +1,7 @@
 package tally
 
 import (
+	"maps"
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/budget"
@@ -55,13 +56,16 @@
 
 // lacking returns what the reports of this data centre's VMs lack of inherited counts.
 func (h *Hub) lacking(now time.Duration, inherited Counts) map[string]budget.History {
-	return h.missing(now, h.local.histories(h.bucket(now)), inherited)
+	if !h.isRecent(now, inherited) {
+		return nil
+	}
+	return h.missing(now, h.local.counts.histories(h.bucket(now)), inherited)
 }
 
 // LocalCounts returns the counts of this data centre's VMs, of those too that have ended.
 func (h *Hub) LocalCounts(now time.Duration) Counts {
 	h.expire(now)
-	local := h.local.histories(h.bucket(now))
+	local := h.local.counts.histories(h.bucket(now))
 	return Counts{At: now, Histories: Add(local, h.missing(now, local, h.inherited))}
 }
 
@@ -78,7 +82,7 @@
 
 // countsExcept returns the counts of all VMs except the given one's process.
 func (h *Hub) countsExcept(now time.Duration, vm string) map[string]budget.History {
-	counts := Add(h.all.histories(h.bucket(now)), h.lacking(now, h.inherited))
+	counts := Add(h.all.counts.histories(h.bucket(now)), h.lacking(now, h.inherited))
 	own := h.vms[vm]
 	later := h.bucket(now) - h.bucket(own.at)
 	for service, history := range own.tally.Counts {
@@ -95,12 +99,67 @@
 	return counts
 }
 
+// localAbsent returns the part of the counts of this data centre's VMs that VMs made which don't report to
+// this hub now. It can't know whether they have ended.
+func (h *Hub) localAbsent(now time.Duration) map[string]budget.Count {
+	return h.absentIn(now, h.local)
+}
+
+// absentCounts returns the same of all data centres.
+func (h *Hub) absentCounts(now time.Duration) map[string]budget.Count {
+	absent := h.absentIn(now, h.all)
+	for _, r := range h.remote {
+		if r.loadsExpire {
+			absent = addTotals(absent, r.tally.Absent)
+		}
+	}
+	return absent
+}
+
+func (h *Hub) absentIn(now time.Duration, of sums) map[string]budget.Count {
+	return addTotals(budget.Totals(h.lacking(now, h.inherited)), budget.Totals(of.absent.histories(h.bucket(now))))
+}
+
+// addTotals adds counts to a sum, which may be nil, and returns it; nil if there are none.
+func addTotals(sum, more map[string]budget.Count) map[string]budget.Count {
+	switch {
+	case len(more) == 0 && len(sum) == 0:
+		return nil
+	case len(sum) == 0:
+		return maps.Clone(more)
+	}
+	for service, count := range more {
+		sum[service] = sum[service].Add(count)
+	}
+	return sum
+}
+
+// oldestReportAge returns the age of the oldest report of those that have not expired.
+func (h *Hub) oldestReportAge(now time.Duration) time.Duration {
+	if now-h.oldestFoundAt >= oldestReportReuse || h.oldestFoundAt == 0 {
+		h.oldestReportAt, h.oldestFoundAt = now, now
+		for _, reports := range []map[string]report{h.vms, h.remote} {
+			for _, r := range reports {
+				if r.loadsExpire {
+					h.oldestReportAt = min(h.oldestReportAt, r.at)
+				}
+			}
+		}
+	}
+	return now - h.oldestReportAt
+}
+
+// isRecent reports whether some of what is known is of the last window.
+func (h *Hub) isRecent(now time.Duration, known Counts) bool {
+	return len(known.Histories) > 0 && h.bucket(now)-h.bucket(known.At) < budget.HistoryLength
+}
+
 // missing returns what counts as of now lack of counts that were known before.
 func (h *Hub) missing(now time.Duration, counts map[string]budget.History, known Counts) map[string]budget.History {
-	buckets := h.bucket(now) - h.bucket(known.At)
-	if buckets >= budget.HistoryLength || len(known.Histories) == 0 {
+	if !h.isRecent(now, known) {
 		return nil
 	}
+	buckets := h.bucket(now) - h.bucket(known.At)
 	lacking := make(map[string]budget.History, len(known.Histories))
 	for service, history := range known.Histories {
 		if rest := missing(aged(history, buckets), counts[service], buckets); rest != (budget.History{}) {
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -27,6 +27,8 @@
 	// reporting intervals, until each VM has reported to it, has learnt that it is another hub,
 	// and has passed on what it knew. The first of them may know less than others.
 	inheritPeriod = 750 * time.Millisecond
+	// oldestReportReuse is how long the oldest report isn't looked for again: each answer needs it.
+	oldestReportReuse = 100 * time.Millisecond
 )
 
 // Hub aggregates the reports of its data centre's VMs and the sums of other data centres.
@@ -39,6 +41,10 @@
 	vms, remote map[string]report
 	// local are the sums of this data centre's VMs, all those of all data centres.
 	local, all sums
+	// mostVMs is the largest number of VMs of which reports told.
+	mostVMs budget.KnownVMs
+	// oldestReportAt is when the oldest report was received of those that had not expired at oldestFoundAt.
+	oldestReportAt, oldestFoundAt time.Duration
 	// log orders the servers by the last change of their sum over all data centres.
 	log loadLog
 	// full and rates are what VMs and data centres report of single servers.
@@ -121,6 +127,7 @@
 // earlier process stay in the sums until they are older than the window.
 func (h *Hub) put(now time.Duration, reports map[string]report, from string, tally Tally, vmSums *sums) {
 	before := reports[from]
+	h.mostVMs = h.mostVMs.Merge(now, tally.MostVMs, 2*h.window)
 	tally.Loads = quantize(tally.Loads)
 	next := report{at: now, tally: tally, loadsExpire: true, before: before.before}
 	sameProcess := before.tally.Process == tally.Process
@@ -128,11 +135,18 @@
 		if !sameProcess {
 			next.before = Counts{At: before.at, Histories: before.tally.Counts}
 		}
-		next.tally.Counts = Add(tally.Counts, h.missing(now, tally.Counts, next.before))
+		missing := h.missing(now, tally.Counts, next.before)
+		next.tally.Counts, next.tally.Absent = Add(tally.Counts, missing), addTotals(budget.Totals(missing), tally.Absent)
 	}
 	if sameProcess || vmSums == nil {
 		h.subtractCounts(before, vmSums)
 	}
+	if !before.loadsExpire {
+		h.all.absent.subtract(h.bucket(before.at), before.tally.Counts)
+		if vmSums != nil {
+			vmSums.absent.subtract(h.bucket(before.at), before.tally.Counts)
+		}
+	}
 	reports[from] = next
 	h.addCounts(next, vmSums)
 	h.replace(now, reporter{from, vmSums != nil}, before.tally, next.tally, vmSums)
@@ -141,16 +155,16 @@
 }
 
 func (h *Hub) addCounts(r report, vmSums *sums) {
-	h.all.addCounts(h.bucket(r.at), r.tally.Counts)
+	h.all.counts.add(h.bucket(r.at), r.tally.Counts)
 	if vmSums != nil {
-		vmSums.addCounts(h.bucket(r.at), r.tally.Counts)
+		vmSums.counts.add(h.bucket(r.at), r.tally.Counts)
 	}
 }
 
 func (h *Hub) subtractCounts(r report, vmSums *sums) {
-	h.all.subtractCounts(h.bucket(r.at), r.tally.Counts)
+	h.all.counts.subtract(h.bucket(r.at), r.tally.Counts)
 	if vmSums != nil {
-		vmSums.subtractCounts(h.bucket(r.at), r.tally.Counts)
+		vmSums.counts.subtract(h.bucket(r.at), r.tally.Counts)
 	}
 }
 
@@ -217,6 +231,10 @@
 			left := Tally{}
 			if r.loadsExpire && now <= r.at+h.window {
 				left.Process, left.Counts = r.tally.Process, r.tally.Counts
+				h.all.absent.add(h.bucket(r.at), r.tally.Counts)
+				if vmSums != nil {
+					vmSums.absent.add(h.bucket(r.at), r.tally.Counts)
+				}
 				reports[from] = report{at: r.at, tally: left, before: r.before}
 			} else {
 				delete(reports, from)
@@ -237,6 +255,8 @@
 		VMs: h.local.vms, Loads: maps.Clone(h.local.loads), Counts: h.LocalCounts(now).Histories,
 		Full: make(map[string]time.Duration), Rates: make(map[string]ratelimit.Report),
 		Demand:   h.local.demand.Report(),
+		Absent:   h.localAbsent(now),
+		MostVMs:  h.mostVMs,
 		Promises: h.localPromises.reports(now, report{}, promisedKeys(now, h.vms)),
 	}
 	for _, r := range h.vms {
@@ -272,6 +292,7 @@
 	own := h.vms[vm].tally
 	sum := Tally{
 		VMs: h.all.vms - own.VMs, Counts: h.countsExcept(now, vm), CountsUnknown: !h.KnowsCounts(now),
+		Absent: h.absentCounts(now), OldestReportAge: h.oldestReportAge(now), MostVMs: h.mostVMs,
 		Full: h.full.except(reporter{vm, true}.key()),
 		// A VM's own report of a rate is no newer than what it knows, so it does no harm here.
 		Rates:   h.rates.newest(),
--- a/internal/core/tally/restart_test.go
+++ b/internal/core/tally/restart_test.go
@@ -140,7 +140,7 @@
 	hub := s.hubUsedBy(vm)
 	p := vm.process
 	p.budget.SetLiveVMs(s.liveVMs(vm))
-	own := tally.Tally{VMs: 1, Process: p.id, Counts: p.budget.Histories(s.now)}
+	own := tally.Tally{VMs: 1, MostVMs: p.budget.MostVMs(), Process: p.id, Counts: p.budget.Histories(s.now)}
 	h := hub.process.hub
 	h.Serve(s.now)
 	h.Report(s.now, vm.name, own)
@@ -157,7 +157,8 @@
 	}
 	if h.KnowsCounts(s.now) {
 		p.known = h.LocalCounts(s.now)
-		p.budget.SetPeerCounts(s.now, others.VMs, budget.Totals(others.Counts))
+		p.budget.LearnVMs(s.now, others.MostVMs)
+		p.budget.SetPeerCounts(s.now, others.PeerCounts())
 	}
 }
 
--- a/internal/core/tally/sums.go
+++ b/internal/core/tally/sums.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"oleandershunt.example/oleandershunt/internal/core/backends"
-	"oleandershunt.example/oleandershunt/internal/core/budget"
 	"oleandershunt.example/oleandershunt/internal/core/demand"
 	"oleandershunt.example/oleandershunt/internal/core/ratelimit"
 )
@@ -13,12 +12,14 @@
 type sums struct {
 	vms    int
 	loads  map[string]backends.Usage
-	counts map[string]*timeline
+	counts timelines
+	// absent are the counts of reports that have expired, which counts includes.
+	absent timelines
 	demand *demand.Sums
 }
 
 func newSums() sums {
-	return sums{loads: make(map[string]backends.Usage), counts: make(map[string]*timeline), demand: demand.NewSums()}
+	return sums{loads: make(map[string]backends.Usage), counts: make(timelines), absent: make(timelines), demand: demand.NewSums()}
 }
 
 // replace takes a report off the sums and adds another one, except for the counts. It returns the
@@ -49,32 +50,6 @@
 	}
 }
 
-func (s *sums) addCounts(bucket int64, counts map[string]budget.History) {
-	for service, history := range counts {
-		if s.counts[service] == nil {
-			s.counts[service] = &timeline{}
-		}
-		s.counts[service].add(bucket, history)
-	}
-}
-
-func (s *sums) subtractCounts(bucket int64, counts map[string]budget.History) {
-	for service, history := range counts {
-		s.counts[service].subtract(bucket, history)
-	}
-}
-
-// histories returns the counts as of a bucket of the services that have any.
-func (s *sums) histories(bucket int64) map[string]budget.History {
-	histories := make(map[string]budget.History, len(s.counts))
-	for service, counts := range s.counts {
-		if history := counts.history(bucket); history != (budget.History{}) {
-			histories[service] = history
-		}
-	}
-	return histories
-}
-
 // fullServers are the servers that are reported as full.
 type fullServers map[string]*fullReports
 
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -39,6 +39,13 @@
 	// Counts are their requests and retries, by service. In a hub's answer they include those of
 	// VMs that ended within the last window.
 	Counts map[string]budget.History
+	// Absent is the part of Counts that VMs made which don't report any more: they ended, or can't be
+	// reached and may go on. OldestReportAge is the age of the oldest report of the others; only a hub's
+	// answer to a VM has it.
+	Absent          map[string]budget.Count
+	OldestReportAge time.Duration
+	// MostVMs is the largest number of VMs that the reporters knew to report at the same time.
+	MostVMs budget.KnownVMs
 	// CountsUnknown is set in the answer of a hub that doesn't know yet what VMs did that ended.
 	CountsUnknown bool
 	// Full lists the servers that recently rejected one of their requests for lack of memory,
@@ -71,3 +78,8 @@
 func subtract(from, usage backends.Usage) backends.Usage {
 	return backends.Usage{Memory: from.Memory - usage.Memory, Running: from.Running - usage.Running}
 }
+
+// PeerCounts returns the counts of an answer to a VM.
+func (t Tally) PeerCounts() budget.PeerCounts {
+	return budget.PeerCounts{VMs: t.VMs, OldestAge: t.OldestReportAge, Counts: budget.Totals(t.Counts), Absent: t.Absent}
+}
--- a/internal/core/tally/timeline.go
+++ b/internal/core/tally/timeline.go
@@ -49,6 +49,37 @@
 	return history
 }
 
+// timelines are the counts by service.
+type timelines map[string]*timeline
+
+// add adds histories that were reported in a bucket.
+func (t timelines) add(bucket int64, counts map[string]budget.History) {
+	for service, history := range counts {
+		if t[service] == nil {
+			t[service] = &timeline{}
+		}
+		t[service].add(bucket, history)
+	}
+}
+
+// subtract takes off histories that were added before.
+func (t timelines) subtract(bucket int64, counts map[string]budget.History) {
+	for service, history := range counts {
+		t[service].subtract(bucket, history)
+	}
+}
+
+// histories returns the counts as of a bucket of the services that have any.
+func (t timelines) histories(bucket int64) map[string]budget.History {
+	histories := make(map[string]budget.History, len(t))
+	for service, counts := range t {
+		if history := counts.history(bucket); history != (budget.History{}) {
+			histories[service] = history
+		}
+	}
+	return histories
+}
+
 func slotOf(bucket int64) int64 {
 	return (bucket%budget.HistoryLength + budget.HistoryLength) % budget.HistoryLength
 }
--- a/internal/edge/budgetlog.go
+++ b/internal/edge/budgetlog.go
@@ -34,6 +34,7 @@
 		l.loggedAt[use.Service] = now
 		telemetry.RetryBudgetUsed.Log(log, "service", use.Service, "limit", use.Limit,
 			"requests", use.Own.Requests, "retries", use.Own.Retries, "othersRequests", use.Peers.Requests, "othersRetries", use.Peers.Retries,
+			"absentRequests", use.Absent.Requests, "absentRetries", use.Absent.Retries,
 			"countsAgeMs", use.CountsAge.Milliseconds(), "vms", use.VMs, "slackVMs", use.SlackVMs)
 	}
 }
--- a/internal/edge/budgetlog_test.go
+++ b/internal/edge/budgetlog_test.go
@@ -22,7 +22,7 @@
 	}
 	var l budgetLog
 	l.record(log, start, b.Uses(start))
-	b.SetPeerCounts(start, 3, map[string]budget.Count{"llm": {Requests: 90, Retries: 19}})
+	b.SetPeerCounts(start, budget.PeerCounts{VMs: 3, Counts: map[string]budget.Count{"llm": {Requests: 90, Retries: 19}}})
 	l.record(log, start, b.Uses(start))
 	g.Expect(lines).To(BeEmpty(), "19 of 40")
 	g.Expect(b.TakeRetry(start, "llm", 1)).To(BeTrue())
--- a/internal/edge/tallymessages.go
+++ b/internal/edge/tallymessages.go
@@ -32,6 +32,14 @@
 	for service, total := range budget.Totals(from.Counts) {
 		to.Counts[service] = &tallyv1.Count{Requests: uint32(total.Requests), Repeats: uint32(total.Retries)}
 	}
+	to.AbsentCounts = make(map[string]*tallyv1.Count, len(from.Absent))
+	for service, count := range from.Absent {
+		to.AbsentCounts[service] = &tallyv1.Count{Requests: uint32(max(count.Requests, 0)), Repeats: uint32(max(count.Retries, 0))}
+	}
+	to.OldestReportAgeMicros = uint64(max(from.OldestReportAge, 0).Microseconds())
+	if most := from.MostVMs; most.VMs > 0 {
+		to.MostVms, to.MostVmsAgeMicros = uint32(most.VMs), uint64(max(now-most.At, 0).Microseconds())
+	}
 	to.Demand, to.HeavyHitters = encodeDemand(from.Demand.Counts), encodeSummaries(from.Demand.Accounts)
 	to.Promises = encodePromises(from.Promises)
 	return to
@@ -66,6 +74,14 @@
 		Demand: demand.Report{Counts: decodeDemand(from.GetDemand()), Accounts: decodeSummaries(from.GetHeavyHitters())},
 
 		Promises: decodePromises(from),
+
+		OldestReportAge: peer.AgeFromMicros(from.GetOldestReportAgeMicros()),
+	}
+	if absent := from.GetAbsentCounts(); len(absent) > 0 {
+		to.Absent = budget.Totals(decodeCounts(absent))
+	}
+	if most := from.GetMostVms(); most > 0 {
+		to.MostVMs = budget.KnownVMs{VMs: int(most), At: at - peer.AgeFromMicros(from.GetMostVmsAgeMicros())}
 	}
 	for i, id := range from.GetFull() {
 		if i < len(from.GetFullMillis()) {
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -204,6 +204,13 @@
 	return d.budget.Histories(d.now())
 }
 
+// MostVMs returns the most VMs that this VM knew to report at the same time.
+func (d *Dispatcher) MostVMs() budget.KnownVMs {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget.MostVMs()
+}
+
 // HasRecentRequests reports whether this or another VM received requests within the window of the retry
 // budget.
 func (d *Dispatcher) HasRecentRequests() bool {
@@ -217,10 +224,11 @@
 func (d *Dispatcher) ApplyTally(others tally.Tally) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if counts := budget.Totals(others.Counts); others.CountsUnknown {
-		d.budget.SetPeerTraffic(counts)
+	d.budget.LearnVMs(d.now(), others.MostVMs)
+	if counts := others.PeerCounts(); others.CountsUnknown {
+		d.budget.SetPeerTraffic(counts.Counts)
 	} else {
-		d.budget.SetPeerCounts(d.now(), others.VMs, counts)
+		d.budget.SetPeerCounts(d.now(), counts)
 	}
 	if others.Partial {
 		d.fleet.UpdateRemoteUsage(others.Loads, others.VMs)
