Use no layers of an entry that the model doesn't have

The VM that orders layers ended with 'index out of range' when an entry named layers beyond the model, and then the next VM that took the role did: the decoder of entries can't know the model, and the planner indexed by what they name. The same came from sound servers under a configuration with fewer layers than they hold. Such a range is now one that the model doesn't have, for paths, capacity and placement alike; the server counts as empty, so that it is ordered layers that exist. An order that was given before the configuration changed is treated alike.

--- a/internal/core/backends/capacity.go
+++ b/internal/core/backends/capacity.go
@@ -64,6 +64,9 @@
 		return
 	}
 	for _, held := range s.LayerRanges {
+		if !engine.HasLayers(held.Layers) {
+			continue
+		}
 		total, first := f.requestRates(now, s, engine, held)
 		if total <= 0 {
 			continue
@@ -79,7 +82,7 @@
 			byLayer = layerRates{total: make([]float64, engine.Layers), free: make([]float64, engine.Layers)}
 			rates[key] = byLayer
 		}
-		for layer := max(held.Layers.From, 0); layer < min(held.Layers.To, engine.Layers); layer++ {
+		for layer := held.Layers.From; layer < held.Layers.To; layer++ {
 			if layer == 0 {
 				byLayer.total[layer] += first
 				byLayer.free[layer] += freeFirst
--- a/internal/core/backends/choose.go
+++ b/internal/core/backends/choose.go
@@ -226,7 +226,7 @@
 			continue
 		}
 		for _, held := range s.LayerRanges {
-			if held.Version != version || held.Layers.Len() <= 0 {
+			if held.Version != version || !service.Engine.HasLayers(held.Layers) {
 				continue
 			}
 			if !request.IgnoreCapacity && !f.hasCapacity(now, s, service.Engine, held, request) {
--- a/internal/core/backends/limits.go
+++ b/internal/core/backends/limits.go
@@ -122,7 +122,7 @@
 		return true
 	}
 	for _, held := range s.LayerRanges {
-		if held.Layers.From == 0 && held.Layers.Len() > 0 {
+		if held.Layers.From == 0 && engine.HasLayers(held.Layers) {
 			return true
 		}
 	}
--- a/internal/core/backends/prompts.go
+++ b/internal/core/backends/prompts.go
@@ -22,11 +22,13 @@
 		}
 		card, layers := engine.Cards[s.Card], 0
 		for _, held := range s.LayerRanges {
-			layers += held.Layers.Len()
+			if engine.HasLayers(held.Layers) {
+				layers += held.Layers.Len()
+			}
 		}
 		rate := engine.ReadRate(card, layers)
 		for _, held := range s.LayerRanges {
-			if held.Layers.From >= 0 && held.Layers.To <= engine.Layers && held.Layers.Len() > 0 {
+			if engine.HasLayers(held.Layers) {
 				changes[held.Layers.From] += rate
 				changes[held.Layers.To] -= rate
 			}
--- a/internal/core/routes/engine.go
+++ b/internal/core/routes/engine.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"oleandershunt.example/oleandershunt/api"
 )
 
 // Engine describes a service whose servers each hold some layers of a model.
@@ -52,6 +54,12 @@
 	return known
 }
 
+// HasLayers reports whether a range is one of the model's layers. An entry may name others: it comes from
+// another writer, or is about a model of another configuration.
+func (e *Engine) HasLayers(layers api.Layers) bool {
+	return layers.From >= 0 && layers.From < layers.To && layers.To <= e.Layers
+}
+
 // MaxLayers returns the maximum number of layers that a card can hold.
 func (e *Engine) MaxLayers(card Card) int {
 	if e.LayerMB <= 0 {
--- a/internal/core/spread/loads.go
+++ b/internal/core/spread/loads.go
@@ -51,6 +51,7 @@
 // Admit returns the orders that may be issued now. Orders that require no load are always
 // admitted.
 func (l LoadLimit) Admit(engine *routes.Engine, servers []Server, orders []Order) []Order {
+	servers = ofModel(engine, servers)
 	if l.MaxConcurrent <= 0 {
 		return orders
 	}
--- a/internal/core/spread/migration.go
+++ b/internal/core/spread/migration.go
@@ -14,6 +14,7 @@
 // last copy of a layer, unless some layer has no copy already and the servers are deadlocked,
 // each waiting for another to take over its layers.
 func MigrationOrders(engine *routes.Engine, servers []Server) []Order {
+	servers = ofModel(engine, servers)
 	counts := Copies(engine, servers)
 	covered := !slices.Contains(counts, 0)
 	var safe, stuck []Order
--- a/internal/core/spread/plan.go
+++ b/internal/core/spread/plan.go
@@ -43,6 +43,7 @@
 // missing a layer. The symptoms are many orders within a second, and servers that reject
 // requests for lack of memory for ten seconds.
 func Plan(engine *routes.Engine, servers []Server) []Order {
+	servers = ofModel(engine, servers)
 	if orders, ok := initialOrders(engine, servers); ok {
 		return orders
 	}
--- a/internal/core/spread/spread.go
+++ b/internal/core/spread/spread.go
@@ -40,6 +40,25 @@
 	Lost bool
 }
 
+// ofModel returns the servers without the layers that the model doesn't have: such a server counts as empty,
+// and an order for such layers as not given.
+func ofModel(engine *routes.Engine, servers []Server) []Server {
+	isOdd := func(l api.Layers) bool { return l != api.Layers{} && !engine.HasLayers(l) }
+	if !slices.ContainsFunc(servers, func(s Server) bool { return isOdd(s.Held) || isOdd(s.Target) }) {
+		return servers
+	}
+	servers = slices.Clone(servers)
+	for i := range servers {
+		if isOdd(servers[i].Held) {
+			servers[i].Held = api.Layers{}
+		}
+		if isOdd(servers[i].Target) {
+			servers[i].Target, servers[i].Loading = api.Layers{}, false
+		}
+	}
+	return servers
+}
+
 // usable returns the range that requests may use. Layers that are being dropped or loaded are
 // excluded.
 func (s Server) usable() api.Layers {
@@ -101,6 +120,7 @@
 // times as long. The others make up further copies, and the servers left over hold the layers
 // with the fewest copies.
 func Layout(engine *routes.Engine, servers []Server) []Order {
+	servers = ofModel(engine, servers)
 	rest := slices.Clone(servers)
 	slices.SortFunc(rest, func(a, b Server) int {
 		return cmp.Or(cmp.Compare(a.Card.Pace, b.Card.Pace), cmp.Compare(engine.MaxLayers(b.Card), engine.MaxLayers(a.Card)), cmp.Compare(a.ID, b.ID))
@@ -196,7 +216,7 @@
 // Copies returns, for each layer, the number of servers whose copy requests can use.
 func Copies(engine *routes.Engine, servers []Server) []int {
 	counts := make([]int, engine.Layers)
-	for _, s := range servers {
+	for _, s := range ofModel(engine, servers) {
 		addCopies(counts, s.usable())
 	}
 	return counts
