Count a retry for the time at which it is sent

A retry counted from the moment at which the budget allowed it, and then waited up to two seconds for a server. After a shortage, what was taken in one window reached the servers in the next one, beside as many later ones. Now it counts for the moment at which it is written to a server, and until then for that at which it was taken.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -191,6 +191,18 @@
 	return allowed
 }
 
+// RecordSent counts a retry that was taken at a time for now, when it is sent: it may have waited for a server
+// meanwhile. A retry that is never sent counts for the time at which it was taken.
+func (b *Budget) RecordSent(now time.Duration, service string, takenAt time.Duration) {
+	w := b.window(now, service)
+	age := w.bucket - int64(takenAt/(b.options.Window/buckets))
+	if age <= 0 || age >= keptBuckets || w.at(age).Retries == 0 {
+		return
+	}
+	w.retries[(w.bucket-age)%keptBuckets]--
+	w.retries[w.bucket%keptBuckets]++
+}
+
 // partLeft returns this VM's part of the retries that all VMs have left, by the last counts of the
 // others.
 func (b *Budget) partLeft(now time.Duration, service string, own Count, part float64) float64 {
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -348,3 +348,21 @@
 	b.SetPeerCounts(later, budget.PeerCounts{VMs: 9})
 	g.Expect(b.MostVMs()).To(Equal(budget.KnownVMs{VMs: 10, At: later}), "the others have been gone for two windows")
 }
+
+// Guards against retries that are sent long after they were taken and don't count in the window in which they
+// are sent.
+func TestRetrySentLaterCountsThen(t *testing.T) {
+	g := NewWithT(t)
+	b := budget.New(options(1))
+	const takenAt = 20 * time.Second
+	taken := spend(b, takenAt)
+	for range taken {
+		b.RecordSent(takenAt+9*time.Second, "s", takenAt)
+	}
+	b.RecordSent(takenAt+9*time.Second, "s", takenAt) // one more than were taken
+	later := takenAt + 18*time.Second
+	g.Expect(spend(b, later)).To(BeZero())
+	g.Expect(budget.Totals(b.Histories(later))["s"].Retries).To(Equal(taken))
+	b.RecordSent(later, "s", takenAt)
+	g.Expect(spend(b, takenAt+20*time.Second)).To(Equal(taken))
+}
--- a/internal/relay/arrivals.go
+++ b/internal/relay/arrivals.go
@@ -37,10 +37,18 @@
 	}
 }
 
-// countSent returns a function that counts an attempt's request as sent, once: it is written again only
-// over a connection that took the place of one that took no byte.
-func countSent(cause, way string) func() {
+// sentRecorder returns a function that records that an attempt's request is sent. It does so once: a request
+// is written again only over a connection that took the place of one that took no byte.
+func (h *Handler) sentRecorder(x *exchange, way string) func() {
+	cause, service, takenAt := x.sendCause(), x.service.Name, x.retryTakenAt
 	return sync.OnceFunc(func() {
-		metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_sent_total{cause=%q,way=%q}", cause, way)).Inc()
+		countSent(cause, way)
+		if takenAt > 0 {
+			h.Dispatcher.recordRetrySent(service, takenAt)
+		}
 	})
 }
+
+func countSent(cause, way string) {
+	metrics.GetOrCreateCounter(fmt.Sprintf("oleandershunt_relay_sent_total{cause=%q,way=%q}", cause, way)).Inc()
+}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -125,6 +125,9 @@
 	x.sends++
 	start := time.Now()
 	response, sent, err := h.roundTrip(x, o)
+	if sent.Any() {
+		x.retryTakenAt = 0
+	}
 	if sent.Withheld() {
 		o.stopWatchdog(x)
 		return h.handleWithheld(x, o)
@@ -170,12 +173,12 @@
 }
 
 func (h *Handler) sendOver(transport http.RoundTripper, x *exchange, o *openAttempt, way string) (*http.Response, *wire.Sent, error) {
-	count := countSent(x.sendCause(), way)
+	recordSent := h.sentRecorder(x, way)
 	ctx, sent := wire.WatchSentWhile(o.ctx, func() bool {
 		if !h.Dispatcher.stillAccepts(o.sentTo) || !h.suspects.mayGoOn(x) {
 			return false
 		}
-		count()
+		recordSent()
 		return true
 	})
 	o.sent.Store(sent)
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -168,18 +168,25 @@
 	d.wakeLocked()
 }
 
-// takeRetry takes one retry from the budget if allowed. share is the part of the budget that
+// takeRetry takes one retry from the budget if allowed, and returns when. share is the part of the budget that
 // this kind of retry may use up.
-func (d *Dispatcher) takeRetry(service string, share float64) bool {
+func (d *Dispatcher) takeRetry(service string, share float64) (at time.Duration, allowed bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	allowed := d.budget.TakeRetry(d.now(), service, share)
-	if allowed {
+	at = d.now()
+	if allowed = d.budget.TakeRetry(at, service, share); allowed {
 		metrics.GetOrCreateCounter(`oleandershunt_relay_retries_total{decision="allowed"}`).Inc()
 	} else {
 		metrics.GetOrCreateCounter(`oleandershunt_relay_retries_total{decision="refused"}`).Inc()
 	}
-	return allowed
+	return at, allowed
+}
+
+// recordRetrySent records that a request's retry, which was taken at a time, is sent now.
+func (d *Dispatcher) recordRetrySent(service string, takenAt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget.RecordSent(d.now(), service, takenAt)
 }
 
 // RetryBudgetUses returns what this VM believes of the retry budget of each service.
--- a/internal/relay/exchange.go
+++ b/internal/relay/exchange.go
@@ -51,6 +51,8 @@
 	replaces bool
 	// retryReserved says that the next attempt's retry was already taken from the budget.
 	retryReserved bool
+	// retryTakenAt is when the next attempt's retry was taken from the budget; 0 without one.
+	retryTakenAt time.Duration
 	// detail is the reason why no server was found, for the log line of the refusal.
 	detail string
 	// deferReason is set if no server was found because all those that could take the request
--- a/internal/relay/pathloss.go
+++ b/internal/relay/pathloss.go
@@ -276,6 +276,8 @@
 	request backends.Request
 	// retryReserved is set if the attempt was ended with a retry reserved.
 	retryReserved atomic.Bool
+	// reservedAt is when it was taken from the budget.
+	reservedAt atomic.Int64
 }
 
 // watchPath starts watching an attempt's path.
@@ -296,7 +298,9 @@
 	if p.timer != nil {
 		p.timer.Stop()
 		p.h.pathWatches.remove(p)
-		x.retryReserved = p.retryReserved.Load()
+		if x.retryReserved = p.retryReserved.Load(); x.retryReserved {
+			x.retryTakenAt = time.Duration(p.reservedAt.Load())
+		}
 	}
 }
 
@@ -347,7 +351,11 @@
 	if _, err := p.h.Dispatcher.preview(x.service, request); err != nil {
 		return false
 	}
-	return p.h.Dispatcher.takeRetry(x.service.Name, unansweredBudgetShare)
+	at, allowed := p.h.Dispatcher.takeRetry(x.service.Name, unansweredBudgetShare)
+	if allowed {
+		p.reservedAt.Store(int64(at))
+	}
+	return allowed
 }
 
 // attemptSet is a set of requests or attempts in progress. It is safe for concurrent use.
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -54,7 +54,16 @@
 	if h.pausedBeyondWait(x) || !x.route.Stream && h.noServerAvailable(x) {
 		return false
 	}
-	return h.Dispatcher.takeRetry(x.service.Name, x.budgetShare(unansweredBudgetShare))
+	return h.takeRetry(x, x.budgetShare(unansweredBudgetShare))
+}
+
+// takeRetry takes the retry of the request's next attempt from the budget if allowed.
+func (h *Handler) takeRetry(x *exchange, share float64) bool {
+	at, allowed := h.Dispatcher.takeRetry(x.service.Name, share)
+	if allowed {
+		x.retryTakenAt = at
+	}
+	return allowed
 }
 
 // pausedBeyondWait reports whether all servers that could take the request's next attempt asked
@@ -108,7 +117,7 @@
 	start, backoff := time.Now(), minOfferBackoff<<max(x.refusals-1, 0)
 	wait := remainingWaits(x).capacity
 	defer func() { x.timing.capacityWait += time.Since(start) }()
-	if x.refusals == 1 && h.Dispatcher.takeRetry(x.service.Name, x.budgetShare(refusedBudgetShare)) {
+	if x.refusals == 1 && h.takeRetry(x, x.budgetShare(refusedBudgetShare)) {
 		return true
 	}
 	for time.Since(start)+backoff <= wait {
@@ -117,7 +126,7 @@
 		case <-x.ctx.Done():
 			return false
 		}
-		if h.Dispatcher.takeRetry(x.service.Name, x.budgetShare(refusedBudgetShare)) {
+		if h.takeRetry(x, x.budgetShare(refusedBudgetShare)) {
 			return true
 		}
 	}
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -131,7 +131,7 @@
 			return nil, err
 		}
 		// Taken only now, so that none is taken where no server has capacity. mayRetry takes the others.
-		if !offered && !h.Dispatcher.takeRetry(x.service.Name, x.budgetShare(unansweredBudgetShare)) {
+		if !offered && !h.takeRetry(x, x.budgetShare(unansweredBudgetShare)) {
 			o.close(h.Dispatcher)
 			return nil, errNoRetryLeft
 		}
