Give a retry back that no server took

A request that was allowed a retry and then found no server used the budget up all the same, for ten seconds, while other requests were refused for want of a retry. Now what was taken and isn't sent by the request's end is given back.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -192,15 +192,23 @@
 }
 
 // RecordSent counts a retry that was taken at a time for now, when it is sent: it may have waited for a server
-// meanwhile. A retry that is never sent counts for the time at which it was taken.
+// meanwhile.
 func (b *Budget) RecordSent(now time.Duration, service string, takenAt time.Duration) {
+	if b.ReturnRetry(now, service, takenAt) {
+		w := b.window(now, service)
+		w.retries[w.bucket%keptBuckets]++
+	}
+}
+
+// ReturnRetry gives back a retry that was taken at a time and is not sent. It reports whether it still counted.
+func (b *Budget) ReturnRetry(now time.Duration, service string, takenAt time.Duration) bool {
 	w := b.window(now, service)
 	age := w.bucket - int64(takenAt/(b.options.Window/buckets))
-	if age <= 0 || age >= keptBuckets || w.at(age).Retries == 0 {
-		return
+	if age < 0 || age >= keptBuckets || w.at(age).Retries == 0 {
+		return false
 	}
 	w.retries[(w.bucket-age)%keptBuckets]--
-	w.retries[w.bucket%keptBuckets]++
+	return true
 }
 
 // partLeft returns this VM's part of the retries that all VMs have left, by the last counts of the
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -366,3 +366,20 @@
 	b.RecordSent(later, "s", takenAt)
 	g.Expect(spend(b, takenAt+20*time.Second)).To(Equal(taken))
 }
+
+// Guards against a budget that is used up by retries for which no server was found.
+func TestReturnedRetriesCanBeTakenAgain(t *testing.T) {
+	g := NewWithT(t)
+	b := budget.New(options(1))
+	const takenAt = 20 * time.Second
+	taken := spend(b, takenAt)
+	for range taken / 2 {
+		g.Expect(b.ReturnRetry(takenAt+2*time.Second, "s", takenAt)).To(BeTrue())
+	}
+	g.Expect(spend(b, takenAt+2*time.Second)).To(Equal(taken / 2))
+	for range 2 * taken {
+		b.ReturnRetry(takenAt+2*time.Second, "s", takenAt)
+	}
+	g.Expect(b.ReturnRetry(takenAt+2*time.Second, "s", takenAt)).To(BeFalse(), "none is left of that time")
+	g.Expect(spend(b, takenAt+2*time.Second)).To(BeNumerically("<=", taken))
+}
--- a/internal/relay/brokenhead_test.go
+++ b/internal/relay/brokenhead_test.go
@@ -142,4 +142,3 @@
 		}()
 	}
 }
-
--- a/internal/relay/dispatch.go
+++ b/internal/relay/dispatch.go
@@ -189,6 +189,15 @@
 	d.budget.RecordSent(d.now(), service, takenAt)
 }
 
+// returnRetry gives a retry back to the budget that was taken at a time and is not sent.
+func (d *Dispatcher) returnRetry(service string, takenAt time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.budget.ReturnRetry(d.now(), service, takenAt) {
+		metrics.GetOrCreateCounter(`oleandershunt_relay_retries_total{decision="returned"}`).Inc()
+	}
+}
+
 // RetryBudgetUses returns what this VM believes of the retry budget of each service.
 func (d *Dispatcher) RetryBudgetUses() []budget.Use {
 	d.mu.Lock()
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -124,6 +124,7 @@
 	defer h.requests.remove(x)
 	defer h.closeOnPanic(x)
 	defer h.releaseBody(x)
+	defer h.returnRetry(x)
 	refused := h.refuseSaturated(x)
 	if refused == nil {
 		refused = h.admit(x)
--- a/internal/relay/latearrival_test.go
+++ b/internal/relay/latearrival_test.go
@@ -27,9 +27,11 @@
 	dispatcher *relay.Dispatcher
 	vm         *relay.Handler
 	clock      atomic.Int64
-	// seen are the requests that reached a server, and again counts the arrivals beyond the first of each.
+	// seen are the requests that reached a server, again counts the arrivals beyond the first of each, and
+	// ended the requests that ended.
 	seen  sync.Map
 	again atomic.Int32
+	ended atomic.Int32
 	// refuses is set once the second server refuses, too.
 	refuses    atomic.Bool
 	busy, full backends.Server
@@ -47,6 +49,7 @@
 	r.dispatcher.SetTable(routes.New(1, routes.Limits{}, []routes.Route{
 		{Host: "a.example", Prefix: "/x/", Repeat: routes.Repeatable, MaxAttempts: 2, TargetLatency: 100 * time.Second, Shares: shares},
 		{Host: "a.example", Prefix: "/y/", Repeat: routes.Repeatable, MaxAttempts: 2, TargetLatency: 100 * time.Second, Priority: 1, Shares: shares},
+		{Host: "a.example", Prefix: "/soon/", Repeat: routes.Repeatable, MaxAttempts: 2, TargetLatency: 400 * time.Millisecond, Shares: shares},
 	}, []routes.Service{{Name: "app"}}, nil))
 	freed := make(chan struct{})
 	r.free = sync.OnceFunc(func() { close(freed) })
@@ -95,26 +98,23 @@
 	return servers
 }
 
-func (r *lateRig) call(count int) {
+func (r *lateRig) call(prefix string, count int) {
 	for range count {
 		r.sent++
-		request := httptest.NewRequest(http.MethodGet, "http://a.example/x/", nil)
+		request := httptest.NewRequest(http.MethodGet, "http://a.example"+prefix, nil)
 		request.Header.Set("X-Request-Id", fmt.Sprint("r", r.sent))
-		r.calls.Go(func() { r.vm.ServeHTTP(httptest.NewRecorder(), request) })
+		r.calls.Go(func() {
+			r.vm.ServeHTTP(httptest.NewRecorder(), request)
+			r.ended.Add(1)
+		})
 	}
 }
 
-// retries returns the retries that the VM counts in the window.
-func (r *lateRig) retries() int { return budget.Totals(r.dispatcher.RetryCounts())["app"].Retries }
-
-// Guards against retries that wait for capacity and reach servers within one window with as many later ones,
-// since they counted only for the time at which they were taken from the budget.
-func TestRetriesCountForTheTimeAtWhichTheyAreSent(t *testing.T) {
-	const requests, slack = 40, 20
-	r := newLateRig(t, slack)
+// occupy sends requests to the busy server until it takes no more.
+func (r *lateRig) occupy() {
 	r.use(r.busy)
 	for r.dispatcher.Waiting("app") == 0 { // until the server takes no more
-		r.call(1)
+		r.call("/x/", 1)
 		sent := r.sent
 		r.Eventually(func() int {
 			running := 0
@@ -122,8 +122,19 @@
 			return running + r.dispatcher.Waiting("app")
 		}, "5s").Should(Equal(sent))
 	}
+}
+
+// retries returns the retries that the VM counts in the window.
+func (r *lateRig) retries() int { return budget.Totals(r.dispatcher.RetryCounts())["app"].Retries }
+
+// Guards against retries that wait for capacity and reach servers within one window with as many later ones,
+// since they counted only for the time at which they were taken from the budget.
+func TestRetriesCountForTheTimeAtWhichTheyAreSent(t *testing.T) {
+	const requests, slack = 40, 20
+	r := newLateRig(t, slack)
+	r.occupy()
 	r.use(append(r.fullServers(requests), r.busy)...)
-	r.call(requests)
+	r.call("/x/", requests)
 	r.Eventually(r.retries, "5s").Should(BeNumerically(">", slack/2))
 	r.Expect(r.again.Load()).To(BeNumerically("<", slack/5), "most wait for the busy server")
 
@@ -135,7 +146,22 @@
 
 	r.clock.Store(int64(31 * time.Second))
 	r.refuses.Store(true)
-	r.call(requests)
+	r.call("/x/", requests)
 	r.calls.Wait()
 	r.Expect(r.again.Load()).To(BeNumerically("<=", slack), "arrivals beyond the first within two seconds")
 }
+
+// Guards against a budget that is used up by retries that were taken and for which no server was found.
+func TestRetriesThatNoServerTakesAreGivenBack(t *testing.T) {
+	const requests, slack = 40, 20
+	r := newLateRig(t, slack)
+	r.occupy()
+	r.use(append(r.fullServers(requests), r.busy)...)
+	r.call("/soon/", requests)
+	r.Eventually(func() int32 {
+		r.clock.Store(min(r.clock.Load()+int64(20*time.Millisecond), int64(25*time.Second)))
+		r.dispatcher.WithFleet(func(time.Duration, *backends.Fleet) {}) // looks at the queue
+		return r.ended.Load()
+	}, "5s").Should(BeNumerically(">=", requests))
+	r.Expect(r.retries()-int(r.again.Load())).To(BeNumerically("<=", r.dispatcher.Waiting("app")), "what waits still may use its own")
+}
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -66,6 +66,14 @@
 	return allowed
 }
 
+// returnRetry gives the retry of the request's next attempt back if there is none.
+func (h *Handler) returnRetry(x *exchange) {
+	if x.retryTakenAt > 0 {
+		h.Dispatcher.returnRetry(x.service.Name, x.retryTakenAt)
+		x.retryTakenAt = 0
+	}
+}
+
 // pausedBeyondWait reports whether all servers that could take the request's next attempt asked
 // for a pause longer than the request may wait. Such a request is refused without taking a retry.
 func (h *Handler) pausedBeyondWait(x *exchange) bool {
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -115,6 +115,7 @@
 // run makes attempts until one delivers events or none is left, and ends the replacement.
 func (r *replacement) run() {
 	opened, err := r.open()
+	r.w.h.returnRetry(r.x)
 	if !r.end(opened, err) && opened != nil {
 		opened.stopWatchdog(r.x)
 		opened.close(r.w.h.Dispatcher)
