Shed no request for a priority that no request can have any more

After a change of the routes' priorities callers' requests were refused for up to two seconds in favour of more urgent ones that didn't exist: the sums of all VMs still had what was counted under the former priorities, and it counted as more urgent. Demand of a priority that neither a route to the service nor an account has under the configuration in force goes first of nothing now.

The rig of TestNothingIsShedByOldSums had a configuration without routes and demand at two priorities; it has a route of each priority now, and the test checks what it did.

--- a/internal/core/demand/admitted.go
+++ b/internal/core/demand/admitted.go
@@ -34,8 +34,10 @@
 	return 1
 }
 
-// Admitted returns what is left for each class of requests after those that go first.
-func (o *Overall) Admitted() Admitted {
+// Admitted returns what is left for each class of requests after those that go first. Of the demand of a priority
+// that hasPriority denies nothing goes first: it was counted under an earlier configuration, and its callers'
+// requests have another priority now. A nil hasPriority denies none.
+func (o *Overall) Admitted(hasPriority func(Key) bool) Admitted {
 	if o == nil {
 		return nil
 	}
@@ -45,6 +47,9 @@
 		if i == 0 || key.Service != urgent.service {
 			urgent = serviceDemand{service: key.Service, all: Total(o.Counts, key.Service)}
 		}
+		if hasPriority != nil && !hasPriority(key) {
+			continue
+		}
 		counts := o.Counts[key]
 		for _, class := range []Class{{key, false}, {key, true}} {
 			if fraction := urgent.fraction(class, counts); fraction < 1 {
--- a/internal/core/demand/admitted_test.go
+++ b/internal/core/demand/admitted_test.go
@@ -32,25 +32,25 @@
 // Guards against less urgent requests being served at some VMs while others refuse more urgent ones.
 func TestLessUrgentRequestsGetWhatTheOthersLeave(t *testing.T) {
 	g := NewWithT(t)
-	flood := demandOf(countsOf(1000, 300, 700), countsOf(600, 200, 400), countsOf(400, 100, 300)).Admitted()
+	flood := demandOf(countsOf(1000, 300, 700), countsOf(600, 200, 400), countsOf(400, 100, 300)).Admitted(nil)
 	g.Expect(flood.Fraction(class(0, false))).To(Equal(1.0), "nothing is more urgent")
 	g.Expect(flood.Fraction(class(1, false))).To(BeNumerically("~", 600./8/1000, 0.001), "what is reserved")
 	g.Expect(flood.Fraction(class(2, false))).To(BeNumerically("~", 600./8/400, 0.001), "what is reserved")
 
-	mild := demandOf(countsOf(300, 250, 50), countsOf(600, 250, 350), countsOf(400, 100, 300)).Admitted()
+	mild := demandOf(countsOf(300, 250, 50), countsOf(600, 250, 350), countsOf(400, 100, 300)).Admitted(nil)
 	g.Expect(mild.Fraction(class(1, false))).To(BeNumerically("~", (0.95*600-300)/600, 0.01))
 
-	served := demandOf(countsOf(300, 300, 3), countsOf(600, 250, 350)).Admitted()
+	served := demandOf(countsOf(300, 300, 3), countsOf(600, 250, 350)).Admitted(nil)
 	g.Expect(served.Fraction(class(1, false))).To(Equal(1.0), "the urgent ones are served")
-	g.Expect(demandOf(countsOf(900, 250, 650)).Admitted()).To(BeEmpty(), "all have the same priority")
-	g.Expect((*demand.Overall)(nil).Admitted().Fraction(class(2, false))).To(Equal(1.0), "nothing is known")
+	g.Expect(demandOf(countsOf(900, 250, 650)).Admitted(nil)).To(BeEmpty(), "all have the same priority")
+	g.Expect((*demand.Overall)(nil).Admitted(nil).Fraction(class(2, false))).To(Equal(1.0), "nothing is known")
 }
 
 // Guards against less urgent requests that are admitted more often than the more urgent ones, because few
 // of them come.
 func TestLessUrgentRequestsAreNotServedMoreOften(t *testing.T) {
 	g := NewWithT(t)
-	admitted := demandOf(countsOf(4000, 400, 3600), countsOf(50, 40, 10)).Admitted()
+	admitted := demandOf(countsOf(4000, 400, 3600), countsOf(50, 40, 10)).Admitted(nil)
 	g.Expect(admitted.Fraction(class(1, false))).To(BeNumerically("<=", 0.1))
 	g.Expect(admitted.Fraction(class(1, false))).To(BeNumerically(">", 0), "they aren't left without any")
 }
@@ -61,10 +61,10 @@
 	g := NewWithT(t)
 	flood := countsOf(1200, 300, 0)
 	flood.OverShare, flood.Waiting = amountOf(1000), amountOf(100)
-	admitted := demandOf(flood).Admitted()
+	admitted := demandOf(flood).Admitted(nil)
 	g.Expect(admitted.Fraction(class(0, false))).To(Equal(1.0))
 	g.Expect(admitted.Fraction(class(0, true))).To(BeNumerically("~", (0.95*300-200)/1000, 0.001))
 
 	flood.Waiting = amountOf(2)
-	g.Expect(demandOf(flood).Admitted()).To(BeEmpty(), "what nobody else asks for is theirs")
+	g.Expect(demandOf(flood).Admitted(nil)).To(BeEmpty(), "what nobody else asks for is theirs")
 }
--- a/internal/core/routes/routes.go
+++ b/internal/core/routes/routes.go
@@ -91,6 +91,15 @@
 	keysRequired bool
 	// ordersRequests is the result of OrdersRequests.
 	ordersRequests bool
+	// priorities are the priorities of the routes to each service, and accountPriorities those of accounts,
+	// which override them.
+	priorities        map[servicePriority]bool
+	accountPriorities map[int]bool
+}
+
+type servicePriority struct {
+	service  string
+	priority int
 }
 
 // New builds a table. keys maps each key to its account; nil means that no request needs a key.
@@ -102,6 +111,13 @@
 		byHost:       make(map[string][]Route),
 		accounts:     keys,
 		keysRequired: keys != nil,
+
+		priorities: make(map[servicePriority]bool), accountPriorities: make(map[int]bool),
+	}
+	for _, account := range keys {
+		if account.HasPriority {
+			t.accountPriorities[account.Priority] = true
+		}
 	}
 	for _, service := range services {
 		t.services[service.Name] = service
@@ -114,6 +130,9 @@
 	for _, route := range list {
 		host := strings.ToLower(route.Host)
 		t.byHost[host] = append(t.byHost[host], route)
+		for _, share := range route.Shares {
+			t.priorities[servicePriority{share.Service, route.Priority}] = true
+		}
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
@@ -121,6 +140,11 @@
 	return t
 }
 
+// HasPriority reports whether requests for a service may have a priority: that of a route or of an account.
+func (t *Table) HasPriority(service string, priority int) bool {
+	return t.priorities[servicePriority{service, priority}] || t.accountPriorities[priority]
+}
+
 // OrdersRequests reports whether the configuration has a field that admission control uses: an engine, a
 // client account, different priorities or a gap target. Without any, requests to busy servers of plain
 // services wait at the servers.
--- a/internal/core/share/simulation_test.go
+++ b/internal/core/share/simulation_test.go
@@ -257,7 +257,7 @@
 		in.All, in.Counts = overall.Accounts[simKey.Service], overall.Service(simKey.Service)
 	}
 	vm.shares.Update(s.now, simKey.Service, in)
-	vm.admitted = overall.Admitted()
+	vm.admitted = overall.Admitted(nil)
 	for _, id := range slices.Sorted(maps.Keys(vm.arrivals)) {
 		request := vm.arrivals[id]
 		request.mark = vm.shares.Remark(s.now, simKey.Service, request.account, simWork, request.mark)
--- a/internal/relay/demand.go
+++ b/internal/relay/demand.go
@@ -126,11 +126,17 @@
 	return d.demand.counter.Report(d.now())
 }
 
+// hasPriority reports whether requests of a service may have a priority under the configuration in force. It
+// must be called with the lock held.
+func (d *Dispatcher) hasPriority(key demand.Key) bool {
+	return d.table == nil || d.table.HasPriority(key.Service, key.Priority)
+}
+
 // divideServices divides the services anew by the demand of all VMs, or by this VM's if overall is nil.
 // It must be called with the lock held.
 func (d *Dispatcher) divideServices(overall *demand.Overall) {
 	now := d.now()
-	d.demand.admitted, d.demand.admittedAt = overall.Admitted(), now
+	d.demand.admitted, d.demand.admittedAt = overall.Admitted(d.hasPriority), now
 	local := d.demand.counter.Report(now)
 	totals := demand.Totals(local.Counts)
 	d.demand.shares.Retain(totals)
--- a/internal/relay/division_test.go
+++ b/internal/relay/division_test.go
@@ -31,7 +31,10 @@
 	r := &divisionRig{WithT: NewWithT(t), service: routes.Service{Name: "llm", Engine: engine}}
 	r.d = NewDispatcher(func() time.Duration { return r.now }, budget.New(budget.Options{Window: 10 * time.Second}))
 	r.d.SetDataCentre("a")
-	r.d.SetTable(routes.New(1, routes.Limits{}, nil, []routes.Service{r.service}, nil))
+	shares := []routes.Share{{Service: "llm", Weight: 1}}
+	r.d.SetTable(routes.New(1, routes.Limits{}, []routes.Route{
+		{Host: "a.example", Prefix: "/urgent/", Shares: shares}, {Host: "a.example", Prefix: "/other/", Priority: 1, Shares: shares},
+	}, []routes.Service{r.service}, nil))
 	r.handler = New(Options{Log: logr.Discard(), Dispatcher: r.d, DataCentre: "a"})
 	var list []backends.Server
 	for _, dataCentre := range []string{"a", "b"} {
