Forget the number of VMs two windows after it was last seen

VMs that pass the number of VMs on took the younger of two equal ones; the age that a message gives is short by the message's time, so that a VM with slow messages could keep all others from forgetting VMs that are gone, and their slack unused. Of equal numbers a VM keeps its own now, and only complete counts of its own make it younger.

--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -54,8 +54,8 @@
 type Budget struct {
 	options  Options
 	services map[string]*window
-	// peers are the latest complete counts of all other VMs, as of peersAt, and traffic the latest ones.
-	// mostVMs is the highest number of VMs that complete counts covered, this one included.
+	// peers are the latest complete counts of all other VMs, as of peersAt, and traffic the latest ones,
+	// which may lack some. mostVMs is the highest number of VMs that complete counts covered, this one included.
 	peers   PeerCounts
 	peersAt time.Duration
 	traffic map[string]Count
@@ -72,16 +72,14 @@
 	At  time.Duration
 }
 
-// Merge returns the larger of two numbers, or the later one if the other is older than retention.
+// Merge returns the number or what another VM knows of it: the larger one, of those that are not older than
+// retention. Of equal ones it keeps its own: the age of the other one is less by the time of its message, so that
+// VMs that took it from one another would never forget it.
 func (k KnownVMs) Merge(now time.Duration, other KnownVMs, retention time.Duration) KnownVMs {
-	switch {
-	case now-other.At > retention:
-		return k
-	case other.VMs > k.VMs, other.VMs == k.VMs && other.At > k.At, now-k.At > retention:
+	if now-other.At <= retention && (other.VMs > k.VMs || now-k.At > retention) {
 		return other
-	default:
-		return k
 	}
+	return k
 }
 
 // PeerCounts are the counts of the other VMs.
@@ -118,7 +116,11 @@
 // SetPeerCounts sets the counts of the other VMs.
 func (b *Budget) SetPeerCounts(now time.Duration, peers PeerCounts) {
 	b.peers, b.peersAt, b.traffic = peers, now, peers.Counts
-	b.mostVMs = b.mostVMs.Merge(now, KnownVMs{VMs: peers.VMs + 1, At: now}, 2*b.options.Window)
+	if seen := (KnownVMs{VMs: peers.VMs + 1, At: now}); seen.VMs == b.mostVMs.VMs {
+		b.mostVMs = seen
+	} else {
+		b.mostVMs = b.mostVMs.Merge(now, seen, 2*b.options.Window)
+	}
 }
 
 // LearnVMs adds what another VM knows of the number of VMs.
--- a/internal/core/budget/budget_test.go
+++ b/internal/core/budget/budget_test.go
@@ -383,3 +383,18 @@
 	g.Expect(b.ReturnRetry(takenAt+2*time.Second, "s", takenAt)).To(BeFalse(), "none is left of that time")
 	g.Expect(spend(b, takenAt+2*time.Second)).To(BeNumerically("<=", taken))
 }
+
+// Guards against VMs that learn a number of VMs from one another again and again, each time a little younger,
+// and never forget it.
+func TestKnownNumberOfVMsExpires(t *testing.T) {
+	g := NewWithT(t)
+	const retention, transit = 20 * time.Second, 200 * time.Millisecond
+	one, other := budget.KnownVMs{VMs: 65}, budget.KnownVMs{VMs: 65}
+	now := time.Duration(0)
+	for ; now < 2*retention; now += 250 * time.Millisecond {
+		one = one.Merge(now, budget.KnownVMs{VMs: other.VMs, At: other.At + transit}, retention)
+		other = other.Merge(now, budget.KnownVMs{VMs: one.VMs, At: one.At + transit}, retention)
+	}
+	g.Expect(now - one.At).To(BeNumerically(">", retention))
+	g.Expect(now - other.At).To(BeNumerically(">", retention))
+}
--- a/internal/core/tally/counts.go
+++ b/internal/core/tally/counts.go
@@ -99,8 +99,8 @@
 	return counts
 }
 
-// localAbsent returns the part of the counts of this data centre's VMs that VMs made which don't report to
-// this hub now. It can't know whether they have ended.
+// localAbsent returns, of the counts of this data centre, those of VMs that don't report to this hub now. It
+// can't know whether they have ended.
 func (h *Hub) localAbsent(now time.Duration) map[string]budget.Count {
 	return h.absentIn(now, h.local)
 }
@@ -116,6 +116,7 @@
 	return absent
 }
 
+// absentIn returns the counts of expired reports in sums, and those that were inherited and no report has.
 func (h *Hub) absentIn(now time.Duration, of sums) map[string]budget.Count {
 	return addTotals(budget.Totals(h.lacking(now, h.inherited)), budget.Totals(of.absent.histories(h.bucket(now))))
 }
--- a/internal/core/tally/tally.go
+++ b/internal/core/tally/tally.go
@@ -39,8 +39,8 @@
 	// Counts are their requests and retries, by service. In a hub's answer they include those of
 	// VMs that ended within the last window.
 	Counts map[string]budget.History
-	// Absent is the part of Counts that VMs made which don't report any more: they ended, or can't be
-	// reached and may go on. OldestReportAge is the age of the oldest report of the others; only a hub's
+	// Absent is the part of Counts of VMs that don't report any more: they ended, or can't be reached and
+	// may go on. OldestReportAge is the age of the oldest report of the others; only a hub's
 	// answer to a VM has it.
 	Absent          map[string]budget.Count
 	OldestReportAge time.Duration
