Show retries above the budget when hubs are lost during a cut

What the killed VMs had retried since their last report reached no VM that lives on; the cut makes it more, since all use what is left at that moment.

--- a/internal/core/tally/partition_test.go
+++ b/internal/core/tally/partition_test.go
@@ -116,3 +116,17 @@
 		g.Expect(most).To(BeNumerically("<=", 1))
 	}
 }
+
+// Guards against retries of killed VMs that no VM that lives on was told of: a data centre is cut off, and a second
+// later most VMs are killed with all hubs.
+func TestRetriesKeepLimitWhenHubsAreLostDuringACut(t *testing.T) {
+	g := NewWithT(t)
+	for seed := range uint64(3) {
+		s := newSimulation(seed)
+		s.cuts = []cut{{3 * time.Second, 6 * time.Second, "b"}}
+		s.run(warmUp+20*time.Second, loss{4 * time.Second, 0.6, true})
+		most := s.mostRetries()
+		t.Logf("seed %d: %.2f of what is allowed", seed, most)
+		g.Expect(most).To(BeNumerically("<=", 1))
+	}
+}
