--- a/internal/core/tally/partition_test.go
+++ b/internal/core/tally/partition_test.go
@@ -3,8 +3,6 @@
 import (
 	"testing"
 	"time"
-
-	. "github.com/onsi/gomega"
 )
 
 // membershipDelay is how long after the start of a partition the VMs beyond it don't count as live any more.
@@ -88,15 +86,9 @@
 		"one, and failures only after its end": {cuts: []cut{{3 * second, 2 * second, "b"}}, failuresFrom: 5 * second},
 	} {
 		t.Run(name, func(t *testing.T) {
-			g := NewWithT(t)
-			for seed := range uint64(3) {
-				s := newSimulation(seed)
+			expectLimitKept(t, scenario.losses, func(s *simulation) {
 				s.cuts, s.failuresFrom = scenario.cuts, warmUp+scenario.failuresFrom
-				s.run(warmUp+30*time.Second, scenario.losses...)
-				most := s.mostRetries()
-				t.Logf("seed %d: %.2f of what is allowed", seed, most)
-				g.Expect(most).To(BeNumerically("<=", 1))
-			}
+			})
 		})
 	}
 }
@@ -104,29 +96,15 @@
 // Guards against VMs that can't reach their hub, report to another VM and use the budget of the requests of all
 // VMs of their data centre, as the others do.
 func TestRetriesKeepLimitWhileVMsUseAnotherHub(t *testing.T) {
-	g := NewWithT(t)
-	for seed := range uint64(3) {
-		s := newSimulation(seed)
+	expectLimitKept(t, nil, func(s *simulation) {
 		for vm := simulatedCentres; vm < simulatedVMs; vm += 2 {
 			s.strays = append(s.strays, stray{3 * time.Second, 6 * time.Second, vm})
 		}
-		s.run(warmUp + 30*time.Second)
-		most := s.mostRetries()
-		t.Logf("seed %d: %.2f of what is allowed", seed, most)
-		g.Expect(most).To(BeNumerically("<=", 1))
-	}
+	})
 }
 
 // Guards against retries of killed VMs that no VM that lives on was told of: a data centre is cut off, and a second
 // later most VMs are killed with all hubs.
 func TestRetriesKeepLimitWhenHubsAreLostDuringACut(t *testing.T) {
-	g := NewWithT(t)
-	for seed := range uint64(3) {
-		s := newSimulation(seed)
-		s.cuts = []cut{{3 * time.Second, 6 * time.Second, "b"}}
-		s.run(warmUp+20*time.Second, loss{4 * time.Second, 0.6, true})
-		most := s.mostRetries()
-		t.Logf("seed %d: %.2f of what is allowed", seed, most)
-		g.Expect(most).To(BeNumerically("<=", 1))
-	}
+	expectLimitKept(t, []loss{{4 * time.Second, 0.6, true}}, func(s *simulation) { s.cuts = []cut{{3 * time.Second, 6 * time.Second, "b"}} })
 }
--- a/internal/core/tally/restart_test.go
+++ b/internal/core/tally/restart_test.go
@@ -270,10 +270,13 @@
 	g.Expect(budget.Totals(hub.LocalCounts(again + inherit).Histories)["llm"].Retries).To(Equal(9))
 }
 
-func expectLimitKept(t *testing.T, losses []loss) {
+func expectLimitKept(t *testing.T, losses []loss, changes ...func(*simulation)) {
 	g := NewWithT(t)
 	for seed := range uint64(3) {
 		s := newSimulation(seed)
+		for _, change := range changes {
+			change(s)
+		}
 		s.run(warmUp+30*time.Second, losses...)
 		most := s.mostRetries()
 		t.Logf("seed %d: %.2f of what is allowed", seed, most)
