Give back no retry that a silent attempt has used

A replacement began with a copy of its attempt's request, the time of that one's retry included. When it found no server, the retry was given back although it had been sent. Found on reading the change again; TestReplacementDoesNotOwnTheRetryOfItsAttempt failed before (1 s, 0 expected).

--- a/internal/relay/arrivals_test.go
+++ b/internal/relay/arrivals_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -19,3 +20,10 @@
 		g.Expect(x.sendCause()).To(Equal(cause))
 	}
 }
+
+// Guards against a retry that was sent and is given back, since a replacement of its attempt found no server.
+func TestReplacementDoesNotOwnTheRetryOfItsAttempt(t *testing.T) {
+	g := NewWithT(t)
+	w := &watchdog{o: &openAttempt{}, base: exchange{retryTakenAt: time.Second}}
+	g.Expect(w.forkLocked(nil).retryTakenAt).To(BeZero())
+}
--- a/internal/relay/replace.go
+++ b/internal/relay/replace.go
@@ -104,7 +104,7 @@
 // forkLocked returns the request for attempts beside this one.
 func (w *watchdog) forkLocked(avoid []string) *exchange {
 	x := w.base
-	x.attemptHistory, x.replaces = w.base.clone(), true
+	x.attemptHistory, x.replaces, x.retryTakenAt = w.base.clone(), true, 0
 	x.avoid, x.ranOn, x.allowed = avoid, appendMissing(nil, w.ranOn...), nil
 	x.recordRan(w.o.choice)
 	x.sends, x.refusals = x.sends+w.sends, x.refusals+w.refusals
