--- a/internal/core/budget/budget.go
+++ b/internal/core/budget/budget.go
@@ -55,7 +55,8 @@
 	options  Options
 	services map[string]*window
 	// peers are the latest complete counts of all other VMs, as of peersAt, and traffic the latest ones,
-	// which may lack some. mostVMs is the highest number of VMs that complete counts covered, this one included.
+	// which may lack some. mostVMs is the largest number of VMs, this one included, that this VM or another
+	// one saw report.
 	peers   PeerCounts
 	peersAt time.Duration
 	traffic map[string]Count
@@ -72,9 +73,9 @@
 	At  time.Duration
 }
 
-// Merge returns the number or what another VM knows of it: the larger one, of those that are not older than
-// retention. Of equal ones it keeps its own: the age of the other one is less by the time of its message, so that
-// VMs that took it from one another would never forget it.
+// Merge returns the larger of this number and another VM's, ignoring those older than retention. Of equal ones it
+// returns this one: the age of the other is too low by the transit time of its message, so VMs that adopted it from
+// one another would keep it for ever.
 func (k KnownVMs) Merge(now time.Duration, other KnownVMs, retention time.Duration) KnownVMs {
 	if now-other.At <= retention && (other.VMs > k.VMs || now-k.At > retention) {
 		return other
@@ -123,12 +124,12 @@
 	}
 }
 
-// LearnVMs adds what another VM knows of the number of VMs.
+// LearnVMs merges the number of VMs that another VM knows of.
 func (b *Budget) LearnVMs(now time.Duration, known KnownVMs) {
 	b.mostVMs = b.mostVMs.Merge(now, known, 2*b.options.Window)
 }
 
-// MostVMs returns the most VMs, this one included, that complete counts covered.
+// MostVMs returns the largest number of VMs, this one included, that this VM or another one saw report.
 func (b *Budget) MostVMs() KnownVMs { return b.mostVMs }
 
 // SetPeerTraffic sets counts of the other VMs that may lack some. They show only whether there is
@@ -221,8 +222,8 @@
 	present := own.Add(b.peers.Counts[service]).Subtract(absent)
 	limit := b.options.Ratio*float64(present.Requests) + b.options.Slack*vms/all
 	absentLimit := b.options.Ratio*float64(absent.Requests) + b.options.Slack*(all-vms)/all
-	// VMs that don't report may use the rest of their own budget meanwhile. What they used beyond it
-	// is taken from this one.
+	// VMs that don't report may still use the rest of their own budget. What they used beyond it is
+	// subtracted from that of the VMs that report.
 	borrowed := max(float64(absent.Retries)-sharedFraction*absentLimit, 0)
 	left := part*sharedFraction*limit - float64(present.Retries) - borrowed
 	if left < vms {
--- a/internal/core/demand/admitted.go
+++ b/internal/core/demand/admitted.go
@@ -34,9 +34,9 @@
 	return 1
 }
 
-// Admitted returns what is left for each class of requests after those that go first. Of the demand of a priority
-// that hasPriority denies nothing goes first: it was counted under an earlier configuration, and its callers'
-// requests have another priority now. A nil hasPriority denies none.
+// Admitted returns what is left for each class of requests after those that go first. Demand with a priority that
+// no request can have any more is left out: it was counted under an earlier configuration. hasPriority reports
+// whether requests can have a priority; nil means that they can have each.
 func (o *Overall) Admitted(hasPriority func(Key) bool) Admitted {
 	if o == nil {
 		return nil
--- a/internal/core/tally/hub.go
+++ b/internal/core/tally/hub.go
@@ -41,7 +41,7 @@
 	vms, remote map[string]report
 	// local are the sums of this data centre's VMs, all those of all data centres.
 	local, all sums
-	// mostVMs is the largest number of VMs of which reports told.
+	// mostVMs is the largest number of VMs that any report gave.
 	mostVMs budget.KnownVMs
 	// oldestReportAt is when the oldest report was received of those that had not expired at oldestFoundAt.
 	oldestReportAt, oldestFoundAt time.Duration
