--- a/review/_standins-2/world.go
+++ b/review/_standins-2/world.go
@@ -112,6 +112,8 @@
 	http    *http.Server
 	vms     []*vm
 	program []string
+	// held are the listeners that hold the machines' ports until these start.
+	held []net.Listener
 }
 
 // prepare starts the store and prepares a machine for each zone in the list. The processes are started by startVMs.
@@ -131,7 +133,7 @@
 	w.storeAt = listener.Addr().String()
 	w.http = &http.Server{Handler: storeHandler{w.store}}
 	go func() { _ = w.http.Serve(listener) }()
-	ports, err := freePorts(4 * len(zones))
+	ports, err := w.holdPorts(4 * len(zones))
 	if err != nil {
 		return err
 	}
@@ -188,37 +190,36 @@
 
 func local(port int) string { return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)) }
 
-// drawn are the ports that this process has drawn.
-var drawn struct {
-	sync.Mutex
-	ports map[int]bool
+// freePort listens on a free port on loopback, below those of outgoing connections.
+func freePort() (net.Listener, int, error) {
+	for range 1000 {
+		port := 12_000 + rand.IntN(20_000)
+		if listener, err := net.Listen("tcp", local(port)); err == nil {
+			return listener, port, nil
+		}
+	}
+	return nil, 0, fmt.Errorf("no free port on loopback")
 }
 
-// freePorts returns ports on loopback, below those of outgoing connections, that were free a moment ago. It returns
-// none twice.
-func freePorts(n int) ([]int, error) {
-	drawn.Lock()
-	defer drawn.Unlock()
-	if drawn.ports == nil {
-		drawn.ports = make(map[int]bool)
-	}
+// holdPorts returns free ports, which are held until release is called.
+func (w *world) holdPorts(n int) ([]int, error) {
 	var ports []int
-	for range 10_000 {
-		port := 12_000 + rand.IntN(20_000)
-		if drawn.ports[port] {
-			continue
-		}
-		listener, err := net.Listen("tcp", local(port))
+	for range n {
+		listener, port, err := freePort()
 		if err != nil {
-			continue
+			return nil, err
 		}
+		w.held = append(w.held, listener)
+		ports = append(ports, port)
+	}
+	return ports, nil
+}
+
+func (w *world) releasePorts() {
+	for _, listener := range w.held {
 		_ = listener.Close()
-		drawn.ports[port] = true
-		if ports = append(ports, port); len(ports) == n {
-			return ports, nil
-		}
 	}
-	return nil, fmt.Errorf("no free ports on loopback")
+	w.held = nil
 }
 
 // start starts a VM's process.
@@ -276,6 +277,7 @@
 
 // startVMs starts all processes and waits until they are ready.
 func (w *world) startVMs(within time.Duration) error {
+	w.releasePorts()
 	for _, v := range w.vms {
 		if err := w.start(v); err != nil {
 			return err
@@ -413,14 +415,15 @@
 // start boots the runner at its address.
 func (s *runner) start() error {
 	address := s.address
+	var listener net.Listener
+	var err error
 	if address == "" {
-		ports, err := freePorts(1)
-		if err != nil {
-			return err
-		}
-		address = local(ports[0])
+		var port int
+		listener, port, err = freePort()
+		address = local(port)
+	} else {
+		listener, err = net.Listen("tcp", address)
 	}
-	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return err
 	}
