Tell a reset from the end of a response in tunnels through other VMs

Cause: the VM in between copies the upload to the server and the response back. Its write of the upload took the report of the reset; the copy of the response found the end of the connection, and the VM closed its side of the tunnel in order, as after a whole response.

Change: the tunnel's connection to the server detects resets, too, and the tunnel is then reset. Where the server takes no more of the request, the rest is read and discarded until the other VM has closed the tunnel: to close the server's connection at once could lose a response that had arrived, and to close the tunnel with unread bytes would reset it after the response.

--- a/internal/edge/earlyresponse_test.go
+++ b/internal/edge/earlyresponse_test.go
@@ -81,12 +81,16 @@
 	time.Sleep(20 * time.Millisecond)
 }
 
-// vmsBeforeEarlyServer returns VMs by the way in which they reach the server.
+// vmsBeforeEarlyServer returns VMs that reach the server directly and through another VM.
 func vmsBeforeEarlyServer(t *testing.T, s *earlyServer) map[string]*rig {
 	store := newMemoryStore()
 	store.set("config", "main", table(1))
 	s.start(t, store)
-	vms := map[string]*rig{"directly": newLinkedVM(t, "vm-1", store, "", cutlink.New(), firstStart)}
+	cut := cutlink.New()
+	cut.Set(cutlink.Refused)
+	between := newLinkedVM(t, "vm-1", store, "", cutlink.New(), firstStart)
+	through := newLinkedVM(t, "vm-2", store, between.settings.PeerAddress, cut, firstStart)
+	vms := map[string]*rig{"directly": between, "through another VM": through}
 	for way, vm := range vms {
 		vm.Eventually(func() int { return vm.status("/plain/warm", "warm") }, "5s").Should(Equal(http.StatusOK), way)
 	}
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -86,7 +86,7 @@
 	if _, err := io.WriteString(peer, "HTTP/1.1 200 Connection established\r\n\r\n"); err != nil {
 		return nil // the peer has disconnected
 	}
-	copyBoth(peer, buffered.Reader, server)
+	copyBoth(peer, buffered.Reader, wire.DetectReset(server))
 	return nil
 }
 
@@ -142,7 +142,10 @@
 func copyBoth(peer net.Conn, fromPeer io.Reader, server net.Conn) {
 	var peerLeft sync.WaitGroup
 	peerLeft.Go(func() {
-		copyBytes(server, fromPeer)
+		if copyBytes(server, fromPeer) != nil {
+			// The server takes no more of the request, and may have responded.
+			_, _ = io.Copy(io.Discard, fromPeer)
+		}
 		// The peer sends nothing more once it has the response or has given up, so the server is
 		// to stop working.
 		_ = server.Close()
