Check and bound the heads of other VMs' responses to tunnels

What could be seen: a VM that opens a tunnel read the response of the VM in between without a limit of its head, until 350 ms had passed: 350 to 400 MB of one line, and 52 MB of lines, in a test; a process over its memory is killed with all of its requests. It took a head with a blank in a name, or a version 2.0, for a tunnel, and a status of 000 or 101 for a sign that the VM lives.

Cause: the dialer reads responses with http.ReadResponse, apart from the transports whose heads are bounded.

Change: the dialer reads them through wire.CheckHead, as the transports do, which ends a head of more than 64 KiB.

Evidence: TestAHeadWithoutAnEndIsNotKept and TestAnInvalidResponseOpensNoTunnel failed on in each case but "interim heads", which is read one head at a time, and hold now.

--- a/internal/tunnel/dialer.go
+++ b/internal/tunnel/dialer.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"oleandershunt.example/oleandershunt/internal/core/reach"
+	"oleandershunt.example/oleandershunt/internal/wire"
 )
 
 const (
@@ -144,7 +145,7 @@
 	if request.Write(conn) != nil {
 		return false
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	response, err := http.ReadResponse(bufio.NewReader(wire.CheckHead(conn)), request)
 	if err != nil {
 		return false
 	}
@@ -278,7 +279,7 @@
 	if err := request.Write(raw); err != nil {
 		return nil, err
 	}
-	conn := NewConn(raw, vm)
+	conn := &Conn{Conn: raw, VM: vm, reader: bufio.NewReaderSize(wire.CheckHead(raw), copyBufferBytes)}
 	response, err := http.ReadResponse(conn.reader, request)
 	if err != nil {
 		return nil, err
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -290,3 +291,71 @@
 	r.addAddress("killed", listener.Addr().String())
 	r.Expect(r.dialer.Responds(t.Context(), "killed")).To(BeFalse())
 }
+
+// addOddVM adds a VM that sends head to all connections, and then rest until they are closed. written counts the
+// bytes that it could send.
+func (r *rig) addOddVM(name, head, rest string) (written *atomic.Int64) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	r.Expect(err).NotTo(HaveOccurred())
+	r.t.Cleanup(func() { _ = listener.Close() })
+	r.addAddress(name, listener.Addr().String())
+	written = new(atomic.Int64)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, err := io.WriteString(conn, head)
+				for err == nil && rest != "" {
+					var n int
+					n, err = io.WriteString(conn, rest)
+					written.Add(int64(n))
+				}
+				_, _ = io.Copy(io.Discard, conn)
+			}()
+		}
+	}()
+	return written
+}
+
+// Guards against a tunnel, or a sign of life, from a response that is none in the protocol.
+func TestAnInvalidResponseOpensNoTunnel(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":      "HTTP/1.1 000 No\r\n\r\n",
+		"status 101":      "HTTP/1.1 101 Switching Protocols\r\n\r\n",
+		"blank in a name": "HTTP/1.1 200 Connection established\r\nX Odd: 1\r\n\r\n",
+		"no HTTP/1":       "HTTP/2.0 200 Connection established\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			r.addOddVM("odd", head, "")
+			_, err := r.dialer.Dial(t.Context(), r.address())
+			r.Expect(err).To(MatchError(tunnel.ErrNoVM))
+			r.Expect(r.dialer.Responds(t.Context(), "odd")).To(BeFalse())
+			r.addVM("vm-1", connectDirectly)
+			r.Expect(r.dial().VM).To(Equal("vm-1"))
+		})
+	}
+}
+
+// Guards against keeping a head without an end that another VM sends in place of a tunnel.
+func TestAHeadWithoutAnEndIsNotKept(t *testing.T) {
+	for name, bytes := range map[string][2]string{
+		"a line":        {"HTTP/1.1 200 OK\r\nX-Odd: ", strings.Repeat("x", 1<<20)},
+		"lines":         {"HTTP/1.1 200 OK\r\n", strings.Repeat("X-Odd: x\r\n", 1<<17)},
+		"no head":       {"", strings.Repeat("x", 1<<20)},
+		"interim heads": {"", strings.Repeat("HTTP/1.1 103 Early Hints\r\n\r\n", 1<<15)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t)
+			written := r.addOddVM("odd", bytes[0], bytes[1])
+			_, err := r.dialer.Dial(t.Context(), r.address())
+			r.Expect(err).To(MatchError(tunnel.ErrNoVM))
+			const socketBuffers = 16 << 20
+			r.Expect(written.Load()).To(BeNumerically("<", socketBuffers))
+		})
+	}
+}
