Pass on no request late in a planned stop that may outlast the VM

Other operators report, and it happened here: in a planned stop, requests that became whole late in the grace were taken, passed on to servers, and cut without an answer at its end, among them requests that may run once (LOST).

Cause: connections whose request has begun stay open when a VM closes its idle ones, 2.5 s after the signal. The time that was left was known, but nobody compared it with the request's.

Change: from that moment on, where callers' new connections reach other VMs, a request is sent to a server only if its own time (the caller's or its route's) is over before the VM ends. Otherwise it is refused at once as not run, reason vm_stopping, with a short Retry-After. The same holds for retries of what has not begun, and for requests that wait for capacity. Responses that have begun are resumed as before. The time left is compared with the request's own limit and not with an estimate of its work, since a wrong estimate would cut it.

Connections opened just before the listener closes whose request comes after are closed unread, as before; tunnels of other VMs are not opened in a stop, and open ones are finished, as before.

--- a/internal/relay/choose.go
+++ b/internal/relay/choose.go
@@ -59,6 +59,10 @@
 // that can't start within its limits is refused, at once if that is known: sent to full servers it
 // would use up the shared retry budget and take time from the streams that run there.
 func (h *Handler) choose(x *exchange, limits waitLimits) (*openAttempt, error) {
+	if h.outlastsVM(x) {
+		x.deferReason = ""
+		return nil, errVMEnds
+	}
 	start := time.Now()
 	w := &waiter{item: queueItem(x, h.Dispatcher.now()), service: x.service, request: h.choiceRequest(x), limits: limits, first: !x.startCounted, shareMark: x.shareMark, shed: x.shed}
 	if x.route.Stream {
@@ -98,7 +102,7 @@
 }
 
 // awaitAdmission waits for the result of a queued request. It leaves the queue if its servers accept
-// none until after its wait, if no VM reaches a server, or if its caller disconnects.
+// none until after its wait, if no VM reaches a server, if its caller disconnects, or if the VM ends before it.
 func (h *Handler) awaitAdmission(x *exchange, w *waiter, ahead int, err error) admission {
 	if deferral := backends.Deferral(nil); errors.As(err, &deferral) {
 		if due, known := deferral.RetryAfter(ahead); known && due > w.limits.limitFor(err) {
@@ -108,6 +112,7 @@
 	}
 	ticker := time.NewTicker(isolationCheckInterval)
 	defer ticker.Stop()
+	vmEnds := h.end.known
 	for {
 		if errors.Is(err, backends.ErrNoServer) && h.isolated(x) {
 			h.Dispatcher.leave(w)
@@ -119,6 +124,12 @@
 		case <-x.ctx.Done():
 			h.Dispatcher.leave(w)
 			return admission{err: context.Cause(x.ctx)}
+		case <-vmEnds:
+			vmEnds = nil
+			if h.outlastsVM(x) {
+				h.Dispatcher.leave(w)
+				return admission{err: errVMEnds}
+			}
 		case <-ticker.C:
 		}
 	}
--- a/internal/relay/handler.go
+++ b/internal/relay/handler.go
@@ -74,8 +74,10 @@
 	transports serverconn.Transports
 	buffers    *buffers
 	// requests are those being served, and ended is set once the VM cuts them at the end of its stop.
-	requests      *attemptSet[*exchange]
-	ended         atomic.Bool
+	requests *attemptSet[*exchange]
+	ended    atomic.Bool
+	// end is when the VM ends, once its stop has come so far.
+	end           vmEnd
 	watchdogs     *attemptSet[*watchdog]
 	pathWatches   *attemptSet[*pathWatch]
 	reports       *reportCache
@@ -102,6 +104,7 @@
 		reports:          newReportCache(options.Engines),
 		suspects:         newPoisonSuspects(),
 		requests:         newAttemptSet[*exchange](),
+		end:              vmEnd{known: make(chan struct{})},
 		watchdogs:        newAttemptSet[*watchdog](),
 		pathWatches:      newAttemptSet[*pathWatch](),
 		silentServers:    newSilentServers(),
--- a/internal/relay/plain.go
+++ b/internal/relay/plain.go
@@ -27,10 +27,7 @@
 		o, err := h.choose(x, wait)
 		if err != nil {
 			x.recordFirst(firstNone, wayNone)
-			if errors.Is(err, backends.ErrFull) {
-				reason = ReasonOverloaded
-			}
-			h.refuse(x, h.finalRefusal(x, reason))
+			h.refuse(x, h.finalRefusal(x, unchosenReason(err, reason)))
 			return
 		}
 		body, result := h.attemptPlain(x, o)
@@ -57,6 +54,19 @@
 	}
 }
 
+// unchosenReason returns the reason of the refusal of a request for which no server was chosen. otherwise is that of
+// its attempt before.
+func unchosenReason(err error, otherwise Reason) Reason {
+	switch {
+	case errors.Is(err, backends.ErrFull):
+		return ReasonOverloaded
+	case errors.Is(err, errVMEnds):
+		return ReasonStopping
+	default:
+		return otherwise
+	}
+}
+
 func refusalReason(result outcome) Reason {
 	if result == notExecuted {
 		return ReasonRefused
--- a/internal/relay/refuse.go
+++ b/internal/relay/refuse.go
@@ -42,6 +42,7 @@
 	ReasonDeadlineSpent Reason = "deadline_spent"
 	ReasonPoison        Reason = "crashes_servers"
 	ReasonHeldBack      Reason = "held_back"
+	ReasonStopping      Reason = "vm_stopping"
 )
 
 // refusal is a response that this VM generates itself.
--- a/internal/relay/repeat.go
+++ b/internal/relay/repeat.go
@@ -29,7 +29,7 @@
 
 // mayRetry reports whether another attempt is allowed, and takes it from the budget.
 func (h *Handler) mayRetry(x *exchange, result outcome) bool {
-	if x.ctx.Err() != nil {
+	if x.ctx.Err() != nil || h.outlastsVM(x) {
 		return false
 	}
 	if result == notExecuted {
@@ -172,6 +172,8 @@
 	switch {
 	case x.mayHaveRun:
 		return uncertainRefusal(reason)
+	case reason == ReasonStopping:
+		return notRunRefusal(reason, reconnectDelay(x.call.Timeout))
 	case x.deferReason != "" && !timeout:
 		return notRunRefusal(x.deferReason, max(x.retryIn, retryAfterDefault))
 	}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -11,7 +11,6 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
-	"oleandershunt.example/oleandershunt/internal/core/backends"
 	"oleandershunt.example/oleandershunt/internal/core/routes"
 	"oleandershunt.example/oleandershunt/internal/serverconn"
 	"oleandershunt.example/oleandershunt/internal/telemetry"
@@ -62,10 +61,7 @@
 		return o
 	}
 	x.recordFirst(firstNone, wayNone)
-	if errors.Is(err, backends.ErrFull) {
-		reason = ReasonOverloaded
-	}
-	h.abandon(x, reason)
+	h.abandon(x, unchosenReason(err, reason))
 	return nil
 }
 
