Let all requests reach the full servers in a test of the retry budget

Cause: the 40 servers that refuse have one address, so that the first refusal keeps requests that have not arrived off all of them. How many retries were taken depended on how many requests were faster than that refusal.

Change: the server refuses none before all 40 requests are there, which the test checks. All of its checks and bounds are as before.

--- a/internal/relay/latearrival_test.go
+++ b/internal/relay/latearrival_test.go
@@ -33,7 +33,11 @@
 	again atomic.Int32
 	ended atomic.Int32
 	// refuses is set once the second server refuses, too.
-	refuses    atomic.Bool
+	refuses atomic.Bool
+	// missing is the number of requests that the first server waits for before it refuses any, and gathered is closed
+	// once they are there.
+	missing    atomic.Int32
+	gathered   chan struct{}
 	busy, full backends.Server
 	free       func()
 	calls      sync.WaitGroup
@@ -41,7 +45,7 @@
 }
 
 func newLateRig(t *testing.T, slack float64) *lateRig {
-	r := &lateRig{WithT: NewWithT(t)}
+	r := &lateRig{WithT: NewWithT(t), gathered: make(chan struct{})}
 	now := func() time.Duration { return time.Duration(r.clock.Load()) }
 	r.clock.Store(int64(20 * time.Second))
 	r.dispatcher = relay.NewDispatcher(now, budget.New(budget.Options{Slack: slack, Window: 10 * time.Second, MinVMs: 1}))
@@ -54,6 +58,15 @@
 	freed := make(chan struct{})
 	r.free = sync.OnceFunc(func() { close(freed) })
 	r.full = r.server(t, "full", 1000, func(w http.ResponseWriter) {
+		if r.missing.Load() > 0 {
+			if r.missing.Add(-1) == 0 {
+				close(r.gathered)
+			}
+			select {
+			case <-r.gathered:
+			case <-freed:
+			}
+		}
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
@@ -134,7 +147,9 @@
 	r := newLateRig(t, slack)
 	r.occupy()
 	r.use(append(r.fullServers(requests), r.busy)...)
+	r.missing.Store(requests) // the first refusal would keep the others off the servers, which have one address
 	r.call("/x/", requests)
+	r.Eventually(r.gathered, "5s").Should(BeClosed())
 	r.Eventually(r.retries, "5s").Should(BeNumerically(">", slack/2))
 	r.Expect(r.again.Load()).To(BeNumerically("<", slack/5), "most wait for the busy server")
 
