Check the refusal of requests whose response is reset during the upload

The test looks at what callers of plain requests get in place of the part: a 502 that says that the request may have run. It holds; no change of the product.

--- a/internal/edge/earlyresponse_test.go
+++ b/internal/edge/earlyresponse_test.go
@@ -138,6 +138,10 @@
 					status, body, whole := vm.upload(path, "r", uploadBytes)
 					vm.Expect(s.early.Load()).To(BeNumerically(">", before), "%s, %s: it reached the server", way, path)
 					vm.Expect(whole && status == c.status).To(BeFalse(), "%s, %s: %d bytes as the whole response", way, path, len(body))
+					if path == "/plain/a" || path == "/once/a" { // a stream may have begun
+						vm.Expect(status).To(Equal(http.StatusBadGateway), "%s, %s", way, path)
+						vm.Expect(body).To(ContainSubstring(`"may_have_run"`), "%s, %s", way, path)
+					}
 				}
 			}
 		})
